--- a/cmd/benchlink/decode.go
+++ b/cmd/adapter/decode.go
@@ -9,21 +9,21 @@
 
 	"github.com/valyala/fastjson"
 
-	"sloegrade"
+	"puffinsaddle/policy"
 )
 
 // link maps the wire to instances of the module and back.
 type link struct {
 	parser    fastjson.Parser
-	instances map[string]*sloegrade.Instance
-	events    []sloegrade.Event
+	instances map[string]*policy.Instance
+	events    []policy.Event
 	buf       []byte
 	log       io.Writer
 	unknown   map[string]bool // unknown events already reported
 }
 
 func newLink(log io.Writer) *link {
-	return &link{instances: map[string]*sloegrade.Instance{}, log: log, unknown: map[string]bool{}}
+	return &link{instances: map[string]*policy.Instance{}, log: log, unknown: map[string]bool{}}
 }
 
 // fields reads the members of one object and keeps the first fault.
@@ -108,12 +108,12 @@
 	return b
 }
 
-func (f *fields) id(key string) sloegrade.ID {
+func (f *fields) id(key string) policy.ID {
 	n := f.integer(key)
 	if n < 0 || n > math.MaxUint32 {
 		f.fail(key, "is not a request id")
 	}
-	return sloegrade.ID(n)
+	return policy.ID(n)
 }
 
 func (f *fields) list(key string) []*fastjson.Value {
@@ -203,7 +203,7 @@
 			if e.err != nil {
 				return first, e.err
 			}
-			n, err := sloegrade.New(set, seed)
+			n, err := policy.New(set, seed)
 			if err != nil {
 				return first, fmt.Errorf("enlist: %w", err)
 			}
@@ -265,45 +265,45 @@
 	return uint64(f.integer(key))
 }
 
-func (f *fields) outcome(key string) sloegrade.Outcome {
+func (f *fields) outcome(key string) policy.Outcome {
 	f.need(key)
 	n := f.integer(key)
 	if n < 0 || n >= int64(len(outcomes)) {
 		f.fail(key, "is not an outcome")
-		return sloegrade.Failed
+		return policy.Failed
 	}
 	return outcomes[n]
 }
 
-var outcomes = [...]sloegrade.Outcome{sloegrade.OK, sloegrade.Failed, sloegrade.Full, sloegrade.TimedOut,
-	sloegrade.Unreached, sloegrade.CutOff, sloegrade.Cancelled, sloegrade.Moot}
+var outcomes = [...]policy.Outcome{policy.OK, policy.Failed, policy.Full, policy.TimedOut,
+	policy.Unreached, policy.CutOff, policy.Cancelled, policy.Moot}
 
 // event maps one event; nil stands for one that this wire's text does not know.
-func (l *link) event(kind string, f *fields) sloegrade.Event {
+func (l *link) event(kind string, f *fields) policy.Event {
 	switch kind {
 	case "req":
 		f.need("rid")
 		f.need("priority")
 		original := f.id("original")
-		return sloegrade.Arrived{ID: f.id("rid"), Class: f.text("priority"), Tenant: f.text("project"),
+		return policy.Arrived{ID: f.id("rid"), Class: f.text("priority"), Tenant: f.text("project"),
 			Caller: f.integer("originPeer"), Size: f.span("effort"), Waited: f.span("backlogTime"), Left: f.span("left"),
 			KB: f.number("kb"), Rank: f.number("place"), Key: f.text("resource"), Write: f.flag("isWrite"),
 			Resent: f.flag("resent"), Original: original, Repeats: original != 0}
 	case "done":
 		f.need("rid")
-		return sloegrade.Finished{ID: f.id("rid"), Outcome: f.outcome("code"), Took: f.span("spent")}
+		return policy.Finished{ID: f.id("rid"), Outcome: f.outcome("code"), Took: f.span("spent")}
 	case "returned":
 		f.need("rid")
-		return sloegrade.CallReturned{ID: f.id("rid"), Outcome: f.outcome("code"), Took: f.span("spent")}
+		return policy.CallReturned{ID: f.id("rid"), Outcome: f.outcome("code"), Took: f.span("spent")}
 	case "lapsed":
 		f.need("rid")
-		return sloegrade.CallerGone{ID: f.id("rid")}
+		return policy.CallerGone{ID: f.id("rid")}
 	case "stalledOnCall":
 		f.need("rid")
-		return sloegrade.CallNeeded{ID: f.id("rid")}
+		return policy.CallNeeded{ID: f.id("rid")}
 	case "retireSoon":
 		f.need("left")
-		return sloegrade.DrainNotice{Left: f.span("left")}
+		return policy.DrainNotice{Left: f.span("left")}
 	case "tickDue":
 		f.need("ref")
 		var gauges []float64
@@ -314,20 +314,20 @@
 			}
 			gauges = append(gauges, x)
 		}
-		return sloegrade.Woke{Token: f.seed("ref"), Gauges: gauges}
+		return policy.Woke{Token: f.seed("ref"), Gauges: gauges}
 	}
 	if !l.unknown[kind] && len(l.unknown) < 100 {
 		l.unknown[kind] = true
-		fmt.Fprintf(l.log, "benchlink: unknown event %q is skipped\n", kind)
+		fmt.Fprintf(l.log, "adapter: unknown event %q is skipped\n", kind)
 	}
 	return nil
 }
 
 // settings maps the settings of one start.
-func settings(f, top *fields) sloegrade.Settings {
+func settings(f, top *fields) policy.Settings {
 	x, rules, limits := f.object("extra"), f.object("rules"), f.object("limits")
 	f.need("classes")
-	s := sloegrade.Settings{
+	s := policy.Settings{
 		Servers: int(f.integer("servers")), Callers: int(x.integer("callers")), Cores: int(x.integer("nCores")),
 		MemoryKB: x.number("heapKb"), EntryKB: x.number("entryKb"), RunFactor: x.number("runMemFactor"),
 		FreshFor: x.span("freshFor"), JustStarted: x.flag("justStarted"), Cold: rules.span("cold"),
@@ -353,11 +353,11 @@
 	switch say := x.text("say"); say {
 	case "", "none":
 	case "level":
-		s.Hint = sloegrade.HintLevel
+		s.Hint = policy.HintLevel
 	case "credit":
-		s.Hint = sloegrade.HintCredit
+		s.Hint = policy.HintCredit
 	case "weight":
-		s.Hint = sloegrade.HintWeight
+		s.Hint = policy.HintWeight
 	default:
 		x.fail("say", "is not known")
 	}
@@ -385,7 +385,7 @@
 	for i, v := range f.list("tenants") {
 		t := &fields{v: v, what: fmt.Sprintf("%s.tenants[%d]", f.what, i)}
 		t.need("name")
-		s.Tenants = append(s.Tenants, sloegrade.Tenant{Name: t.text("name"), Quota: t.number("quotaPerS"), Share: t.number("share")})
+		s.Tenants = append(s.Tenants, policy.Tenant{Name: t.text("name"), Quota: t.number("quotaPerS"), Share: t.number("share")})
 		if f.err == nil {
 			f.err = t.err
 		}
@@ -398,18 +398,18 @@
 	return s
 }
 
-func class(c *fields, i int, calls, skips []*fastjson.Value) sloegrade.Class {
+func class(c *fields, i int, calls, skips []*fastjson.Value) policy.Class {
 	for _, key := range []string{"name", "aim", "deadline", "worth", "idempotency"} {
 		c.need(key)
 	}
-	k := sloegrade.Class{Name: c.text("name"), Aim: c.span("aim"), AimStretch: c.number("aimStretch"), Deadline: c.span("deadline"),
+	k := policy.Class{Name: c.text("name"), Aim: c.span("aim"), AimStretch: c.number("aimStretch"), Deadline: c.span("deadline"),
 		Worth: c.number("worth"), LateValue: c.number("lateValue"), KeyTTL: c.span("keyTtl")}
 	switch c.text("idempotency") {
 	case "safe":
 	case "keyed":
-		k.Safety = sloegrade.Keyed
+		k.Safety = policy.Keyed
 	case "unsafe":
-		k.Safety = sloegrade.Unsafe
+		k.Safety = policy.Unsafe
 	default:
 		c.fail("idempotency", "is not known")
 	}
--- a/cmd/benchlink/encode.go
+++ b/cmd/adapter/encode.go
@@ -6,7 +6,7 @@
 	"strconv"
 	"time"
 
-	"sloegrade"
+	"puffinsaddle/policy"
 )
 
 func appendText(b []byte, s string) []byte {
@@ -15,7 +15,7 @@
 }
 
 // open starts an action that names a request.
-func open(b []byte, name string, id sloegrade.ID) []byte {
+func open(b []byte, name string, id policy.ID) []byte {
 	b = append(b, `{"`...)
 	b = append(b, name...)
 	b = append(b, `":{"rid":`...)
@@ -28,13 +28,13 @@
 }
 
 // appendAction writes one action in the wire's form.
-func appendAction(b []byte, a sloegrade.Action) []byte {
+func appendAction(b []byte, a policy.Action) []byte {
 	switch a := a.(type) {
-	case sloegrade.Start:
+	case policy.Start:
 		b = open(b, "begin", a.ID)
-	case sloegrade.ShareResult:
+	case policy.ShareResult:
 		b = open(b, "replay", a.ID)
-	case sloegrade.Refuse:
+	case policy.Refuse:
 		b = open(b, "sayNo", a.ID)
 		if a.Pause > 0 {
 			b = span(b, `,"pause":`, a.Pause)
@@ -42,31 +42,31 @@
 		if a.NoRetry {
 			b = append(b, `,"noRetry":true`...)
 		}
-	case sloegrade.Fail:
+	case policy.Fail:
 		b = open(b, "error", a.ID)
-	case sloegrade.Remember:
+	case policy.Remember:
 		b = span(open(b, "storeKey", a.ID), `,"span":`, a.Span)
-	case sloegrade.Forget:
+	case policy.Forget:
 		b = open(b, "erase", a.ID)
-	case sloegrade.CallOut:
+	case policy.CallOut:
 		b = span(open(b, "askBelow", a.ID), `,"maxWait":`, a.MaxWait)
-	case sloegrade.SkipCall:
+	case policy.SkipCall:
 		b = open(b, "doWithout", a.ID)
-	case sloegrade.Health:
+	case policy.Health:
 		b = append(b, `{"fitness":{"shallow":`...)
 		b = strconv.AppendBool(b, a.Shallow)
 		b = append(b, `,"on":`...)
 		b = strconv.AppendBool(b, a.Good)
-	case sloegrade.Advise:
+	case policy.Advise:
 		b = append(b, `{"hintOut":{"x":`...)
 		b = strconv.AppendFloat(b, a.Value, 'f', -1, 64)
-	case sloegrade.CloseIdle:
+	case policy.CloseIdle:
 		b = span(append(b, `{"idle":{`...), `"span":`, a.After)
-	case sloegrade.WakeAt:
+	case policy.WakeAt:
 		b = span(append(b, `{"timer":{`...), `"at":`, a.At)
 		b = append(b, `,"ref":`...)
 		b = strconv.AppendUint(b, a.Token, 10)
-	case sloegrade.Note:
+	case policy.Note:
 		b = appendText(append(b, `{"noteDown":{"line":`...), a.Text)
 	default:
 		panic(fmt.Sprintf("no wire form for %T", a))
--- a/cmd/benchlink/main.go
+++ b/cmd/adapter/main.go
@@ -1,4 +1,4 @@
-// Command benchlink speaks the bench's wire on standard input and output for the decision module.
+// Command adapter speaks the bench's wire on standard input and output for the decision module.
 package main
 
 import (
@@ -11,7 +11,7 @@
 
 func main() {
 	if err := run(os.Stdin, os.Stdout, os.Stderr); err != nil {
-		fmt.Fprintln(os.Stderr, "benchlink:", err)
+		fmt.Fprintln(os.Stderr, "adapter:", err)
 		os.Exit(1)
 	}
 }
--- a/cmd/benchlink/main_test.go
+++ b/cmd/adapter/main_test.go
@@ -6,7 +6,7 @@
 	"strings"
 	"testing"
 
-	"sloegrade"
+	"puffinsaddle/policy"
 )
 
 const enlist = `{"simTime":1000,"parts":[{"i":"a-1","events":[{"enlist":{"prng":7,"settings":{"new key":[1],` +
@@ -124,21 +124,21 @@
 }
 
 func TestEveryActionHasAWireForm(t *testing.T) {
-	for want, a := range map[string]sloegrade.Action{
-		`{"begin":{"rid":1}}`:                           sloegrade.Start{ID: 1},
-		`{"replay":{"rid":1}}`:                          sloegrade.ShareResult{ID: 1},
-		`{"sayNo":{"rid":1}}`:                           sloegrade.Refuse{ID: 1},
-		`{"sayNo":{"rid":1,"pause":5,"noRetry":true}}`:  sloegrade.Refuse{ID: 1, Pause: 5, NoRetry: true},
-		`{"error":{"rid":1}}`:                           sloegrade.Fail{ID: 1},
-		`{"storeKey":{"rid":1,"span":9}}`:               sloegrade.Remember{ID: 1, Span: 9},
-		`{"erase":{"rid":1}}`:                           sloegrade.Forget{ID: 1},
-		`{"askBelow":{"rid":1,"maxWait":9}}`:            sloegrade.CallOut{ID: 1, MaxWait: 9},
-		`{"doWithout":{"rid":1}}`:                       sloegrade.SkipCall{ID: 1},
-		`{"fitness":{"shallow":true,"on":false}}`:       sloegrade.Health{Shallow: true},
-		`{"hintOut":{"x":0.25}}`:                        sloegrade.Advise{Value: 0.25},
-		`{"idle":{"span":10}}`:                          sloegrade.CloseIdle{After: 10},
-		`{"timer":{"at":8,"ref":18446744073709551615}}`: sloegrade.WakeAt{At: 8, Token: 1<<64 - 1},
-		`{"noteDown":{"line":"a \"b\""}}`:               sloegrade.Note{Text: `a "b"`},
+	for want, a := range map[string]policy.Action{
+		`{"begin":{"rid":1}}`:                           policy.Start{ID: 1},
+		`{"replay":{"rid":1}}`:                          policy.ShareResult{ID: 1},
+		`{"sayNo":{"rid":1}}`:                           policy.Refuse{ID: 1},
+		`{"sayNo":{"rid":1,"pause":5,"noRetry":true}}`:  policy.Refuse{ID: 1, Pause: 5, NoRetry: true},
+		`{"error":{"rid":1}}`:                           policy.Fail{ID: 1},
+		`{"storeKey":{"rid":1,"span":9}}`:               policy.Remember{ID: 1, Span: 9},
+		`{"erase":{"rid":1}}`:                           policy.Forget{ID: 1},
+		`{"askBelow":{"rid":1,"maxWait":9}}`:            policy.CallOut{ID: 1, MaxWait: 9},
+		`{"doWithout":{"rid":1}}`:                       policy.SkipCall{ID: 1},
+		`{"fitness":{"shallow":true,"on":false}}`:       policy.Health{Shallow: true},
+		`{"hintOut":{"x":0.25}}`:                        policy.Advise{Value: 0.25},
+		`{"idle":{"span":10}}`:                          policy.CloseIdle{After: 10},
+		`{"timer":{"at":8,"ref":18446744073709551615}}`: policy.WakeAt{At: 8, Token: 1<<64 - 1},
+		`{"noteDown":{"line":"a \"b\""}}`:               policy.Note{Text: `a "b"`},
 	} {
 		if got := string(appendAction(nil, a)); got != want {
 			t.Errorf("got %s, want %s", got, want)
--- a/bench_test.go
+++ b/policy/bench_test.go
@@ -1,4 +1,4 @@
-package sloegrade
+package policy
 
 import (
 	"testing"
--- a/heap.go
+++ b/policy/heap.go
@@ -1,4 +1,4 @@
-package sloegrade
+package policy
 
 // orderedHeap is a binary heap; less says what comes first.
 type orderedHeap[T any] struct {
--- a/policy.go
+++ b/policy/policy.go
@@ -1,7 +1,7 @@
 // The decision module. Its interface (settings, events, actions) is in api.go.
 
-// Package sloegrade decides, inside one server, which requests are taken, run and turned away.
-package sloegrade
+// Package policy decides, inside one server, which requests are taken, run and turned away.
+package policy
 
 import (
 	"math"
--- /dev/null
+++ b/policy/settings.go
@@ -0,0 +1,59 @@
+package policy
+
+import (
+	"errors"
+	"fmt"
+	"math"
+)
+
+// check names the first setting that makes no sense.
+func check(set Settings) error {
+	if len(set.Classes) == 0 {
+		return errors.New("policy: Classes is empty")
+	}
+	names := map[string]bool{}
+	for i, c := range set.Classes {
+		switch {
+		case names[c.Name]:
+			return fmt.Errorf("policy: Classes[%d].Name %q stands twice", i, c.Name)
+		case c.Aim <= 0:
+			return fmt.Errorf("policy: Classes[%d].Aim must be above 0", i)
+		case c.Deadline <= 0:
+			return fmt.Errorf("policy: Classes[%d].Deadline must be above 0", i)
+		case !(c.Worth >= 0) || math.IsInf(c.Worth, 0):
+			return fmt.Errorf("policy: Classes[%d].Worth must be 0 or more", i)
+		case !(c.AimStretch >= 0) || !(c.LateValue >= 0) || !(c.SkipWorth >= 0):
+			return fmt.Errorf("policy: Classes[%d].AimStretch, LateValue and SkipWorth must be 0 or more", i)
+		case c.Safety < Safe || c.Safety > Unsafe:
+			return fmt.Errorf("policy: Classes[%d].Safety is unknown", i)
+		case c.Safety == Keyed && c.KeyTTL <= 0:
+			return fmt.Errorf("policy: Classes[%d].KeyTTL must be above 0", i)
+		}
+		names[c.Name] = true
+	}
+	switch {
+	case set.Cores < 1:
+		return errors.New("policy: Cores must be 1 or more")
+	case !(set.MemoryKB > 0):
+		return errors.New("policy: MemoryKB must be above 0")
+	case !(set.RunFactor >= 1):
+		return errors.New("policy: RunFactor must be 1 or more")
+	case !(set.FallMultiple >= 1):
+		return errors.New("policy: FallMultiple must be 1 or more")
+	case !(set.EntryKB >= 0):
+		return errors.New("policy: EntryKB must be 0 or more")
+	case set.Tick < 0 || set.DrainGrace < 0 || set.FreshFor < 0 || set.Cold < 0:
+		return errors.New("policy: Tick, DrainGrace, FreshFor and Cold must be 0 or more")
+	case !(set.BelowShare >= 0) || set.CallSpan < 0 || set.Linger < 0:
+		return errors.New("policy: BelowShare, CallSpan and Linger must be 0 or more")
+	case set.Idle < 0 || set.MaxPause < 0 || set.HintFor < 0 || set.FallSpan < 0 || set.AnswerSlack < 0:
+		return errors.New("policy: Idle, MaxPause, HintFor, FallSpan and AnswerSlack must be 0 or more")
+	case !(set.ColdShare >= 0 && set.ColdShare <= 1):
+		return errors.New("policy: ColdShare must be from 0 to 1")
+	case set.Servers < 0 || set.Callers < 0:
+		return errors.New("policy: Servers and Callers must be 0 or more")
+	case set.Hint < HintNone || set.Hint > HintWeight:
+		return errors.New("policy: Hint is unknown")
+	}
+	return nil
+}
--- a/state.go
+++ b/policy/state.go
@@ -1,4 +1,4 @@
-package sloegrade
+package policy
 
 import (
 	"math/rand/v2"
