--- /dev/null
+++ b/internal/clock/clock.go
@@ -0,0 +1,93 @@
+// Package clock is the program's one source of time: Unix milliseconds as a floating-point number.
+package clock
+
+import (
+	"sort"
+	"sync"
+	"time"
+)
+
+// Clock tells the time and calls back at times to come. A clock made by Manual stands still until it is set.
+type Clock struct {
+	mu     sync.Mutex
+	manual bool
+	now    float64
+	timers []*Timer
+}
+
+// Timer is a call to come.
+type Timer struct {
+	c    *Clock
+	at   float64
+	call func()
+	real *time.Timer
+}
+
+// System is the system's Unix clock.
+func System() *Clock { return &Clock{} }
+
+// Manual is a clock for tests.
+func Manual(now float64) *Clock { return &Clock{manual: true, now: now} }
+
+// Now is the time in Unix milliseconds.
+func (c *Clock) Now() float64 {
+	if !c.manual {
+		return float64(time.Now().UnixNano()) / 1e6
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.now
+}
+
+// After calls back, on another goroutine or from Set, once so many milliseconds have passed.
+func (c *Clock) After(ms float64, call func()) *Timer {
+	if !c.manual {
+		return &Timer{real: time.AfterFunc(Duration(max(ms, 0)), call)}
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	t := &Timer{c: c, at: c.now + ms, call: call}
+	c.timers = append(c.timers, t)
+	return t
+}
+
+// Stop revokes the call, unless it was made.
+func (t *Timer) Stop() {
+	if t.real != nil {
+		t.real.Stop()
+		return
+	}
+	t.c.mu.Lock()
+	defer t.c.mu.Unlock()
+	for i, o := range t.c.timers {
+		if o == t {
+			t.c.timers = append(t.c.timers[:i], t.c.timers[i+1:]...)
+			return
+		}
+	}
+}
+
+// Set moves a manual clock and makes the calls that fall due, in their order.
+func (c *Clock) Set(now float64) {
+	c.mu.Lock()
+	c.now = now
+	sort.SliceStable(c.timers, func(i, j int) bool { return c.timers[i].at < c.timers[j].at })
+	var due []*Timer
+	for len(c.timers) > 0 && c.timers[0].at <= now {
+		due = append(due, c.timers[0])
+		c.timers = c.timers[1:]
+	}
+	c.mu.Unlock()
+	for _, t := range due {
+		t.call()
+	}
+}
+
+// Duration turns milliseconds into the module's and the library's unit; nothing else converts them.
+func Duration(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
+
+// Millis is the way back.
+func Millis(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
+// Time is a moment as the net package wants it for deadlines.
+func Time(unixMs float64) time.Time { return time.Unix(0, int64(unixMs*1e6)) }
--- /dev/null
+++ b/internal/config/config.go
@@ -0,0 +1,149 @@
+// Package config is the one place where configuration is read, checked and given defaults: the platform's
+// RELAY_ variables and JSON file, and the operator's file. Messages name the faulty key.
+package config
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"strconv"
+
+	"github.com/valyala/fastjson"
+
+	"puffinsaddle/policy"
+)
+
+// Defaults, for what the platform's file leaves out.
+const (
+	defaultCores    = 1.0
+	defaultMemoryMB = 192.0
+	defaultSockets  = 1024
+	defaultStopMs   = 3000.0
+)
+
+// Config is all that the program is told.
+type Config struct {
+	Name     string
+	Listen   string // where routers connect
+	Executor string // empty only where the operator's file names another runner
+	Members  string // empty: no reports
+	Vault    string // empty: nothing below to call
+	Seed     uint64
+	StopMs   float64 // from the notice to drain to the kill
+	Cores    float64
+	MemoryMB float64
+	Sockets  int
+	Settings policy.Settings
+	Operator Operator
+}
+
+// Load reads the configuration that the environment names.
+func Load(getenv func(string) string) (*Config, error) {
+	path := getenv("RELAY_CONFIG")
+	if path == "" {
+		return nil, errors.New("RELAY_CONFIG is not set: it names the configuration file")
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("RELAY_CONFIG: %w", err)
+	}
+	c, err := Parse(text)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	// The variables repeat the file; where they differ, what the process was started with counts.
+	if v := getenv("RELAY_NAME"); v != "" {
+		c.Name = v
+	}
+	if v := getenv("RELAY_LISTEN"); v != "" {
+		c.Listen = v
+	}
+	if v := getenv("RELAY_OPERATOR"); v != "" {
+		if c.Operator, err = LoadOperator(v); err != nil {
+			return nil, err
+		}
+	}
+	return c, c.check()
+}
+
+// Parse reads the platform's JSON. Keys that it does not know are ignored: the platform may add some.
+func Parse(text []byte) (*Config, error) {
+	v, err := fastjson.ParseBytes(text)
+	if err != nil {
+		return nil, fmt.Errorf("malformed JSON: %w", err)
+	}
+	if v.Type() != fastjson.TypeObject {
+		return nil, errors.New("must be a JSON object")
+	}
+	f := &Fields{V: v, What: "config"}
+	f.Need("settings")
+	c := &Config{
+		Name: f.Text("name"), Listen: f.Text("listen"), Executor: f.Text("executor"), Members: f.Text("members"),
+		Vault: f.Text("vault"), StopMs: f.Number("stop_ms"), Cores: defaultCores, MemoryMB: defaultMemoryMB, Sockets: defaultSockets,
+	}
+	if f.Get("stop_ms") == nil {
+		c.StopMs = defaultStopMs
+	}
+	if seed := f.Text("seed"); seed != "" {
+		if c.Seed, err = strconv.ParseUint(seed, 16, 64); err != nil {
+			f.Fail("seed", "is not a hexadecimal number of 64 bits")
+		}
+	}
+	if f.Get("limits") != nil {
+		l := f.Object("limits")
+		if l.Get("cores") != nil {
+			c.Cores = l.Number("cores")
+		}
+		if l.Get("memory_mb") != nil {
+			c.MemoryMB = l.Number("memory_mb")
+		}
+		if l.Get("sockets") != nil {
+			c.Sockets = int(l.Integer("sockets"))
+		}
+		if f.Err == nil {
+			f.Err = l.Err
+		}
+	}
+	if f.Err != nil {
+		return nil, f.Err
+	}
+	c.Settings = Settings(f.Object("settings"), f)
+	if f.Err != nil {
+		return nil, f.Err
+	}
+	return c, nil
+}
+
+func (c *Config) check() error {
+	if c.Name == "" {
+		return errors.New(`config: "name" is missing`)
+	}
+	addresses := []struct{ key, at string }{{"listen", c.Listen}, {"members", c.Members}, {"vault", c.Vault}, {"executor", c.Executor}}
+	for _, a := range addresses {
+		if a.at == "" {
+			if a.key == "listen" && c.Operator.UWSGI.Listen == "" || a.key == "executor" && len(c.Operator.UWSGI.Servers) == 0 {
+				return fmt.Errorf("config: %q is missing", a.key)
+			}
+			continue
+		}
+		if _, _, err := net.SplitHostPort(a.at); err != nil {
+			return fmt.Errorf("config: %q is not an address with a port: %w", a.key, err)
+		}
+	}
+	switch {
+	case !(c.Cores > 0):
+		return errors.New(`config: "limits.cores" must be above 0`)
+	case !(c.MemoryMB >= 16):
+		return errors.New(`config: "limits.memory_mb" must be 16 or more`)
+	case c.Sockets < 32:
+		return errors.New(`config: "limits.sockets" must be 32 or more`)
+	case !(c.StopMs >= 0):
+		return errors.New(`config: "stop_ms" must be 0 or more`)
+	}
+	// A probe of the module's own check, so that a faulty setting is named before anything listens.
+	if _, err := policy.New(c.Settings, c.Seed); err != nil {
+		return fmt.Errorf(`config: "settings": %w`, err)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/config/fields.go
@@ -0,0 +1,136 @@
+package config
+
+import (
+	"fmt"
+	"math"
+	"time"
+
+	"github.com/valyala/fastjson"
+
+	"puffinsaddle/policy"
+)
+
+// Fields reads the members of one object and keeps the first fault.
+type Fields struct {
+	V    *fastjson.Value
+	What string // names the object in messages
+	Err  error  // the first fault
+}
+
+func (f *Fields) Fail(key, why string) {
+	if f.Err == nil {
+		f.Err = fmt.Errorf("%s: %q %s", f.What, key, why)
+	}
+}
+
+// Get returns a member, or nil where it is absent or null.
+func (f *Fields) Get(key string) *fastjson.Value {
+	v := f.V.Get(key)
+	if v == nil || v.Type() == fastjson.TypeNull {
+		return nil
+	}
+	return v
+}
+
+func (f *Fields) Need(key string) {
+	if f.Get(key) == nil {
+		f.Fail(key, "is missing")
+	}
+}
+
+func (f *Fields) Integer(key string) int64 {
+	v := f.Get(key)
+	if v == nil {
+		return 0
+	}
+	n, err := v.Int64()
+	if err != nil {
+		f.Fail(key, "is not a whole number")
+	}
+	return n
+}
+
+func (f *Fields) Number(key string) float64 {
+	v := f.Get(key)
+	if v == nil {
+		return 0
+	}
+	n, err := v.Float64()
+	if err != nil || math.IsNaN(n) || math.IsInf(n, 0) {
+		f.Fail(key, "is not a number")
+	}
+	return n
+}
+
+func (f *Fields) Span(key string) time.Duration { return time.Duration(f.Integer(key)) }
+
+// Text takes a string; the number 0 stands for none.
+func (f *Fields) Text(key string) string {
+	v := f.Get(key)
+	if v == nil {
+		return ""
+	}
+	if n, err := v.Int64(); err == nil && n == 0 {
+		return ""
+	}
+	b, err := v.StringBytes()
+	if err != nil {
+		f.Fail(key, "is not text")
+	}
+	return string(b)
+}
+
+func (f *Fields) Flag(key string) bool {
+	v := f.Get(key)
+	if v == nil {
+		return false
+	}
+	b, err := v.Bool()
+	if err != nil {
+		f.Fail(key, "is not true or false")
+	}
+	return b
+}
+
+func (f *Fields) ID(key string) policy.ID {
+	n := f.Integer(key)
+	if n < 0 || n > math.MaxUint32 {
+		f.Fail(key, "is not a request id")
+	}
+	return policy.ID(n)
+}
+
+func (f *Fields) List(key string) []*fastjson.Value {
+	v := f.Get(key)
+	if v == nil {
+		return nil
+	}
+	a, err := v.Array()
+	if err != nil {
+		f.Fail(key, "is not an array")
+	}
+	return a
+}
+
+func (f *Fields) Object(key string) *Fields {
+	v := f.Get(key)
+	if v == nil {
+		f.Fail(key, "is missing")
+		v = fastjson.MustParse("{}")
+	} else if v.Type() != fastjson.TypeObject {
+		f.Fail(key, "is not an object")
+	}
+	return &Fields{V: v, What: f.What + "." + key}
+}
+
+// Seed takes any whole number, of either sign.
+func (f *Fields) Seed(key string) uint64 {
+	v := f.Get(key)
+	if v == nil {
+		return 0
+	}
+	if n, err := v.Uint64(); err == nil {
+		return n
+	}
+	return uint64(f.Integer(key))
+}
--- /dev/null
+++ b/internal/config/operator.go
@@ -0,0 +1,74 @@
+package config
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+
+	"go.yaml.in/yaml/v3"
+)
+
+// Operator is what an operator's file under deploy/ adds. All of it is off on the platform.
+type Operator struct {
+	UWSGI UWSGI `yaml:"uwsgi"`
+}
+
+// UWSGI sets up the second front and the runner that sends requests on to uwsgi servers.
+type UWSGI struct {
+	Listen    string   `yaml:"listen"`      // empty: no front
+	Servers   []string `yaml:"servers"`     // uwsgi servers that run the requests; none: the executor does
+	MaxBody   int      `yaml:"max_body"`    // largest body of a request, in bytes
+	MaxResult int      `yaml:"max_result"`  // largest answer of a server, in bytes
+	ReadMs    float64  `yaml:"read_ms"`     // a caller has so long to send its request
+	Conns     int      `yaml:"connections"` // connections open at once
+	KB        float64  `yaml:"kb"`          // memory booked for a request that does not tell
+}
+
+// LoadOperator reads an operator's file; here a key that is not known is a slip of the pen.
+func LoadOperator(path string) (Operator, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return Operator{}, fmt.Errorf("RELAY_OPERATOR: %w", err)
+	}
+	o, err := ParseOperator(text)
+	if err != nil {
+		return o, fmt.Errorf("%s: %w", path, err)
+	}
+	return o, nil
+}
+
+// ParseOperator reads, checks and completes an operator's file.
+func ParseOperator(text []byte) (Operator, error) {
+	o := Operator{UWSGI: UWSGI{MaxBody: 64 << 10, MaxResult: 1 << 20, ReadMs: 2000, Conns: 128, KB: 24}}
+	d := yaml.NewDecoder(bytes.NewReader(text))
+	d.KnownFields(true)
+	if err := d.Decode(&o); err != nil && len(bytes.TrimSpace(text)) > 0 {
+		return o, err
+	}
+	u := o.UWSGI
+	if u.Listen != "" {
+		if _, _, err := net.SplitHostPort(u.Listen); err != nil {
+			return o, fmt.Errorf("uwsgi.listen: %w", err)
+		}
+	}
+	for i, s := range u.Servers {
+		if _, _, err := net.SplitHostPort(s); err != nil {
+			return o, fmt.Errorf("uwsgi.servers[%d]: %w", i, err)
+		}
+	}
+	switch {
+	case u.MaxBody < 0 || u.MaxBody > 16<<20:
+		return o, errors.New("uwsgi.max_body must be from 0 to 16 MiB")
+	case u.MaxResult < 1024 || u.MaxResult > 16<<20:
+		return o, errors.New("uwsgi.max_result must be from 1 KiB to 16 MiB")
+	case !(u.ReadMs > 0):
+		return o, errors.New("uwsgi.read_ms must be above 0")
+	case u.Conns < 1:
+		return o, errors.New("uwsgi.connections must be 1 or more")
+	case !(u.KB > 0):
+		return o, errors.New("uwsgi.kb must be above 0")
+	}
+	return o, nil
+}
--- /dev/null
+++ b/internal/config/settings.go
@@ -0,0 +1,108 @@
+package config
+
+import (
+	"fmt"
+
+	"github.com/valyala/fastjson"
+
+	"puffinsaddle/policy"
+)
+
+// Settings maps the settings of one start, as the simulator and the platform hand them out.
+func Settings(f, top *Fields) policy.Settings {
+	x, rules, limits := f.Object("extra"), f.Object("rules"), f.Object("limits")
+	f.Need("classes")
+	s := policy.Settings{
+		Servers: int(f.Integer("servers")), Callers: int(x.Integer("callers")), Cores: int(x.Integer("nCores")),
+		MemoryKB: x.Number("heapKb"), EntryKB: x.Number("entryKb"), RunFactor: x.Number("runMemFactor"),
+		FreshFor: x.Span("freshFor"), JustStarted: x.Flag("justStarted"), Cold: rules.Span("cold"),
+		ColdShare: rules.Number("coldShare"), FallMultiple: rules.Number("fallMultiple"), FallSpan: rules.Span("fall"),
+		AnswerSlack: rules.Span("answerSlack"), DrainGrace: rules.Span("drainGrace"), Tick: f.Span("tick"),
+		PassesDeadline: x.Flag("passesDeadline"), BelowShare: x.Number("callsOut"), CallSpan: x.Span("callsOver"), Linger: x.Span("linger"), HintFor: x.Span("heardFor"), Idle: x.Span("idle"),
+		OverShareWorth: f.Number("overShareWorth"), WorthByWork: f.Text("valueBy") == "work",
+		BusyGauge: -1, RunnableGauge: -1, MemoryGauge: -1, ConnGauge: -1,
+	}
+	below := x.Text("downstream")
+	s.Below = below != "" && below != "none"
+	if limits.Flag("retryAfter") {
+		s.MaxPause = limits.Span("maxRetryAfter")
+	}
+	if c := f.Get("clients"); c != nil {
+		s.MarksRetry = f.Object("clients").Flag("marksRetry")
+	}
+	switch x.Text("halt") { // work is never stopped, but a word that nobody knows is a fault
+	case "", "none", "drop", "pause":
+	default:
+		x.Fail("halt", "is not known")
+	}
+	switch say := x.Text("say"); say {
+	case "", "none":
+	case "level":
+		s.Hint = policy.HintLevel
+	case "credit":
+		s.Hint = policy.HintCredit
+	case "weight":
+		s.Hint = policy.HintWeight
+	default:
+		x.Fail("say", "is not known")
+	}
+	for i, v := range x.List("gauges") {
+		b, _ := v.StringBytes()
+		switch string(b) {
+		case "cpu_busy":
+			s.BusyGauge = i
+		case "runnable":
+			s.RunnableGauge = i
+		case "mem_used":
+			s.MemoryGauge = i
+		case "sockets":
+			s.ConnGauge = i
+		}
+	}
+	calls, skips := x.List("callsByClass"), x.List("classSkipWorth")
+	for i, v := range f.List("classes") {
+		c := &Fields{V: v, What: fmt.Sprintf("%s.classes[%d]", f.What, i)}
+		s.Classes = append(s.Classes, class(c, i, calls, skips))
+		if f.Err == nil {
+			f.Err = c.Err
+		}
+	}
+	for i, v := range f.List("tenants") {
+		t := &Fields{V: v, What: fmt.Sprintf("%s.tenants[%d]", f.What, i)}
+		t.Need("name")
+		s.Tenants = append(s.Tenants, policy.Tenant{Name: t.Text("name"), Quota: t.Number("quotaPerS"), Share: t.Number("share")})
+		if f.Err == nil {
+			f.Err = t.Err
+		}
+	}
+	for _, g := range []*Fields{f, x, rules, limits} {
+		if top.Err == nil {
+			top.Err = g.Err
+		}
+	}
+	return s
+}
+
+func class(c *Fields, i int, calls, skips []*fastjson.Value) policy.Class {
+	for _, key := range []string{"name", "aim", "deadline", "worth", "idempotency"} {
+		c.Need(key)
+	}
+	k := policy.Class{Name: c.Text("name"), Aim: c.Span("aim"), AimStretch: c.Number("aimStretch"), Deadline: c.Span("deadline"),
+		Worth: c.Number("worth"), LateValue: c.Number("lateValue"), KeyTTL: c.Span("keyTtl")}
+	switch c.Text("idempotency") {
+	case "safe":
+	case "keyed":
+		k.Safety = policy.Keyed
+	case "unsafe":
+		k.Safety = policy.Unsafe
+	default:
+		c.Fail("idempotency", "is not known")
+	}
+	if i < len(calls) {
+		k.Calls = calls[i].Type() == fastjson.TypeTrue
+	}
+	if i < len(skips) {
+		k.SkipWorth, _ = skips[i].Float64()
+	}
+	return k
+}
--- /dev/null
+++ b/internal/core/core.go
@@ -0,0 +1,333 @@
+package core
+
+import (
+	"math"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"puffinsaddle/internal/clock"
+	"puffinsaddle/internal/net/pool"
+	"puffinsaddle/policy"
+)
+
+const (
+	mostOpen    = 4096    // open requests; the module bounds them by memory long before
+	ledgerPause = 1000.0  // advice where the record of effects can't be kept, in milliseconds
+	earliest    = 1       // the module takes a Left of 0 for 'not told', so what is overdue gets this
+	mostBegun   = 1 << 16 // ids remembered by the ledger in memory
+)
+
+// Core owns the module's instance. One goroutine, Run, calls the module; lives and fronts tell it what
+// happened through the inbox and hear of its choices through their mailboxes.
+type Core struct {
+	clock  *clock.Clock
+	log    zerolog.Logger
+	set    policy.Settings
+	seed   uint64
+	class  map[string]policy.Class
+	runner Runner
+	below  Below
+	ledger Ledger
+
+	inbox *mailbox[event]
+	stop  chan struct{}
+
+	// What the fronts read.
+	shallow, good atomic.Bool
+	say           atomic.Uint64 // bits of the value; NaN: none yet
+	idle          atomic.Int64  // the module's wish to close idle connections, in nanoseconds; 0: none
+
+	owed atomic.Int64 // requests that still wait for their answer
+
+	mu     sync.Mutex
+	lives  map[policy.ID]*Life
+	byWire map[string]*Life
+	lastID policy.ID
+
+	// The owner's.
+	module *policy.Instance
+	born   float64
+	last   float64 // when the module was last called
+	armed  bool    // a timer stands for the rest of the tick
+	batch  []event
+	events []policy.Event
+	keys   keyTable
+}
+
+// event is one thing for the module, with what the owner needs besides.
+type event struct {
+	life   *Life
+	event  policy.Event // nil: only look at the time
+	notice Notice       // of a run's end
+	start  bool         // the runner is up
+	cold   bool
+	drain  float64 // when the process will be stopped
+}
+
+// New makes a core; Run has to be called for it to serve.
+func New(clk *clock.Clock, log zerolog.Logger, set policy.Settings, seed uint64, runner Runner, below Below, ledger Ledger) *Core {
+	c := &Core{clock: clk, log: log, set: set, seed: seed, class: map[string]policy.Class{}, runner: runner, below: below,
+		ledger: ledger, inbox: newMailbox[event](), stop: make(chan struct{}), lives: map[policy.ID]*Life{},
+		byWire: map[string]*Life{}, keys: newKeyTable(clock.Millis(set.FreshFor))}
+	for _, k := range set.Classes {
+		c.class[k.Name] = k
+	}
+	if c.ledger == nil {
+		c.ledger = newMemoryLedger(mostBegun)
+	}
+	c.good.Store(true)
+	c.say.Store(math.Float64bits(math.NaN()))
+	return c
+}
+
+// Open takes a request in. answer is called once at most, and not after Gone was heard in time.
+func (c *Core) Open(q *Request, answer func(Outcome)) *Life {
+	l := &Life{core: c, req: q, box: newMailbox[any](), reply: answer}
+	c.mu.Lock()
+	twin := c.byWire[q.ID] != nil
+	if twin || len(c.lives) >= mostOpen {
+		c.mu.Unlock()
+		// Guards against a second run under one id, and against memory: neither ever gets to the module.
+		if twin {
+			l.answer(Outcome{Verdict: Failed})
+		} else {
+			l.answer(Outcome{Verdict: Refused, After: ledgerPause})
+		}
+		return l
+	}
+	c.owed.Add(1)
+	for c.lastID++; c.lastID == 0 || c.lives[c.lastID] != nil; c.lastID++ { // 0 stands for none
+	}
+	l.id, l.owed = c.lastID, true
+	c.lives[l.id], c.byWire[q.ID] = l, l
+	c.mu.Unlock()
+	go l.serve()
+	return l
+}
+
+func (c *Core) leave(l *Life) {
+	l.settle()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.lives, l.id)
+	delete(c.byWire, l.req.ID)
+}
+
+// Owed counts the requests that still wait for their answer.
+func (c *Core) Owed() int { return int(c.owed.Load()) }
+
+// Up tells that the runner is up, and whether it started cold.
+func (c *Core) Up(cold bool) { c.inbox.put(event{start: true, cold: cold}) }
+
+// Drain tells the module that the process will be stopped at that time.
+func (c *Core) Drain(stopAt float64) { c.inbox.put(event{drain: stopAt}) }
+
+// Health answers a check: from the module's setting, or where that says so by real work.
+func (c *Core) Health(deep bool, answer func(good bool)) {
+	if deep && !c.shallow.Load() && c.runner.Diagnose(answer) {
+		return
+	}
+	answer(c.good.Load())
+}
+
+// Say is the free value that goes with every answer.
+func (c *Core) Say() (float64, bool) {
+	v := math.Float64frombits(c.say.Load())
+	return v, !math.IsNaN(v)
+}
+
+// CloseIdle is the span in milliseconds after which idle connections are to be closed; 0: the callers do it.
+func (c *Core) CloseIdle() float64 { return clock.Millis(time.Duration(c.idle.Load())) }
+
+func (c *Core) knows(class string) bool { _, ok := c.class[class]; return ok }
+
+func (c *Core) deadline(class string) time.Duration { return c.class[class].Deadline }
+
+// due is when a request's answer is due.
+func (c *Core) due(q *Request) float64 {
+	if q.Wait > 0 {
+		return q.At + q.Wait
+	}
+	return q.At + clock.Millis(c.deadline(q.Class))
+}
+
+// begin records an effect before its run.
+func (c *Core) begin(q *Request) (bool, error) {
+	if c.class[q.Class].Safety == policy.Safe {
+		return true, nil
+	}
+	ok, err := c.ledger.Begin(q.ID)
+	if err != nil {
+		c.log.Warn().Err(err).Str("id", q.ID).Msg("effect not recorded, so not run")
+	}
+	return ok && err == nil, err
+}
+
+func (c *Core) tell(l *Life, e policy.Event) { c.inbox.put(event{life: l, event: e}) }
+
+// finish tells the end of a run; the owner keeps the result where others may share it.
+func (c *Core) finish(l *Life, n Notice) {
+	c.inbox.put(event{life: l, notice: n, event: policy.Finished{ID: l.id, Outcome: n.Outcome, Took: clock.Duration(n.Took)}})
+}
+
+// Stop ends Run.
+func (c *Core) Stop() { close(c.stop) }
+
+// Run is the owner of the module: it calls it for what has come in, once a tick at most, and passes on what
+// it chose. Nothing in here waits for a socket.
+func (c *Core) Run() {
+	for {
+		select {
+		case <-c.stop:
+			return
+		case <-c.inbox.ready:
+		}
+		now := c.clock.Now()
+		c.last = min(c.last, now) // a clock that was set back must not stop us
+		if rest := c.last + clock.Millis(c.set.Tick) - now; rest > 0 {
+			if !c.armed {
+				c.armed = true
+				c.clock.After(rest, c.inbox.poke)
+			}
+			continue
+		}
+		c.armed = false
+		c.turn(now)
+	}
+}
+
+// turn is one call of the module.
+func (c *Core) turn(now float64) {
+	c.batch = c.inbox.take(c.batch)
+	c.events = c.events[:0]
+	for _, e := range c.batch {
+		switch {
+		case e.start:
+			c.start(now, e.cold)
+		case e.drain > 0:
+			c.start(now, false)
+			c.events = append(c.events, policy.DrainNotice{Left: clock.Duration(max(e.drain-now, 0))})
+		case e.event != nil:
+			c.start(now, false) // nothing comes before the runner is up, but if it does it must be answered
+			c.events = append(c.events, c.translate(now, e))
+		}
+	}
+	if c.module == nil {
+		return
+	}
+	c.last = now
+	for _, a := range c.module.Handle(clock.Duration(now-c.born), c.events) {
+		c.act(now, a)
+	}
+	for i, e := range c.batch {
+		if _, left := e.event.(policy.CallerGone); left && !e.life.begun {
+			e.life.box.put(dismissed{})
+		}
+		pool.Put(e.notice.Body)
+		c.batch[i] = event{}
+	}
+	c.keys.expire(now)
+}
+
+func (c *Core) start(now float64, cold bool) {
+	if c.module != nil {
+		return
+	}
+	set := c.set
+	set.JustStarted = set.JustStarted || cold
+	m, err := policy.New(set, c.seed)
+	if err != nil {
+		panic(err) // config has tried the same settings
+	}
+	c.module, c.born = m, now
+	c.log.Info().Bool("cold", set.JustStarted).Msg("module started")
+}
+
+// translate completes an event with what only the owner knows.
+func (c *Core) translate(now float64, e event) policy.Event {
+	switch ev := e.event.(type) {
+	case policy.Arrived:
+		q := e.life.req
+		ev.Class, ev.Caller, ev.KB, ev.Rank, ev.Key, ev.Resent = q.Class, q.From, q.KB, q.Rank, q.Key, q.Retry
+		ev.Waited = clock.Duration(max(now-q.At, 0))
+		if q.Wait > 0 {
+			ev.Left = max(clock.Duration(q.At+q.Wait-now), earliest)
+		}
+		ev.Write = c.class[q.Class].Safety != policy.Safe
+		if !ev.Write && q.Key != "" {
+			ev.Original, ev.Repeats = c.keys.original(q, now)
+		}
+		return ev
+	case policy.Finished:
+		c.keys.ended(ev, e.notice)
+		return ev
+	}
+	return e.event
+}
+
+// act passes one choice of the module on.
+func (c *Core) act(now float64, a policy.Action) {
+	switch a := a.(type) {
+	case policy.Start:
+		if l := c.life(a.ID); l != nil {
+			l.begun = true
+			l.box.put(a)
+		}
+	case policy.ShareResult:
+		if l := c.life(a.ID); l != nil {
+			l.begun = true // its end is told by the share
+			result, ok := c.keys.result(l.req)
+			l.box.put(shared{ok: ok, result: result})
+		}
+	case policy.Refuse:
+		c.order(a.ID, a)
+	case policy.Fail:
+		c.order(a.ID, a)
+	case policy.CallOut:
+		c.order(a.ID, a)
+	case policy.SkipCall:
+		c.order(a.ID, a)
+	case policy.Remember:
+		if l := c.life(a.ID); l != nil {
+			c.keys.remember(a.ID, l.req, now+clock.Millis(a.Span))
+		}
+	case policy.Forget:
+		c.keys.forget(a.ID)
+	case policy.Health:
+		c.shallow.Store(a.Shallow)
+		if c.good.Swap(a.Good) != a.Good {
+			c.log.Info().Bool("good", a.Good).Msg("health")
+		}
+	case policy.Advise:
+		c.say.Store(math.Float64bits(a.Value))
+	case policy.CloseIdle:
+		c.idle.Store(int64(a.After))
+	case policy.WakeAt:
+		c.clock.After(c.born+clock.Millis(a.At)-now, func() { c.wake(a.Token) })
+	case policy.Note:
+		c.log.Info().Msg(a.Text)
+	}
+}
+
+// wake looks at the time at once, so that no due answer waits for the gauges, and hands these in once read.
+func (c *Core) wake(token uint64) {
+	c.inbox.put(event{})
+	c.runner.Meter(func(gauges []float64) {
+		c.inbox.put(event{event: policy.Woke{Token: token, Gauges: gauges}})
+	})
+}
+
+func (c *Core) life(id policy.ID) *Life {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.lives[id]
+}
+
+func (c *Core) order(id policy.ID, a policy.Action) {
+	if l := c.life(id); l != nil {
+		l.box.put(a)
+	}
+}
--- /dev/null
+++ b/internal/core/life.go
@@ -0,0 +1,199 @@
+package core
+
+import (
+	"context"
+	"sync"
+
+	"puffinsaddle/internal/clock"
+	"puffinsaddle/internal/net/pool"
+	"puffinsaddle/policy"
+)
+
+// Life is one request in the server's hands.
+type Life struct {
+	core     *Core
+	id       policy.ID
+	req      *Request
+	box      *mailbox[any] // orders of the module, notices of the runner, replies from below
+	reply    func(Outcome)
+	answered bool
+	owed     bool // it waits for its answer
+	begun    bool // the owner's: a Start was ordered
+	goneOnce sync.Once
+}
+
+type (
+	callerGone struct{}
+	dismissed  struct{} // the module closed the books on a request that it never started
+	shared     struct { // a result of the same read
+		ok     bool
+		result []byte
+	}
+	returned struct { // a call came back
+		nth     int
+		outcome policy.Outcome
+		took    float64
+		body    []byte
+	}
+)
+
+// Gone tells that nobody waits for the request any more.
+func (l *Life) Gone() { l.goneOnce.Do(func() { l.box.put(callerGone{}) }) }
+
+// answer gives the one final answer; what comes after it is dropped.
+func (l *Life) answer(o Outcome) {
+	if !l.answered {
+		l.answered = true
+		l.reply(o)
+		l.settle()
+	}
+}
+
+// settle takes the request out of those that wait for an answer.
+func (l *Life) settle() {
+	if l.owed {
+		l.owed = false
+		l.core.owed.Add(-1)
+	}
+}
+
+// fail answers at once, whatever still runs.
+func (l *Life) fail() {
+	c := l.core
+	if c.clock.Now() >= c.due(l.req)-clock.Millis(c.set.Tick) {
+		l.answer(Outcome{Verdict: Overdue})
+		return
+	}
+	l.answer(Outcome{Verdict: Failed})
+}
+
+// serve is the life of one request, from its reading to the end of its run. Each l.core.tell tells the
+// module what happened; what the module chooses comes back through the mailbox.
+func (l *Life) serve() {
+	c := l.core
+	defer c.leave(l)
+	gone := false
+	c.tell(l, policy.Arrived{ID: l.id})
+
+	// Held: until the module starts it, shares a result with it or turns it away.
+	var run *Attempt
+	for run == nil {
+		switch m := l.box.next().(type) {
+		case policy.Refuse:
+			l.answer(Outcome{Verdict: Refused, After: clock.Millis(m.Pause), Last: m.NoRetry, Unknown: !c.knows(l.req.Class)})
+			return
+		case policy.Fail:
+			l.fail()
+			return
+		case shared:
+			outcome := policy.Failed
+			if m.ok {
+				outcome = policy.OK
+				l.answer(Outcome{Verdict: Served, Result: m.result})
+			} else {
+				l.fail()
+			}
+			c.tell(l, policy.Finished{ID: l.id, Outcome: outcome})
+			return
+		case callerGone:
+			gone = true
+			c.tell(l, policy.CallerGone{ID: l.id})
+		case dismissed:
+			return
+		case policy.Start:
+			if gone { // the module had not heard it yet; nothing was begun
+				c.tell(l, policy.Finished{ID: l.id, Outcome: policy.Moot})
+				return
+			}
+			if ok, err := c.begin(l.req); !ok {
+				// Not begun here now: an effect whose record can't be kept may be tried elsewhere, one
+				// that was begun before may not.
+				if err != nil {
+					l.answer(Outcome{Verdict: Refused, After: ledgerPause})
+				} else {
+					l.answer(Outcome{Verdict: Failed})
+				}
+				c.tell(l, policy.Finished{ID: l.id, Outcome: policy.Moot})
+				return
+			}
+			run = &Attempt{Request: l.req, Due: c.due(l.req), Notify: func(n Notice) { l.box.put(n) }}
+			c.runner.Start(run)
+		}
+	}
+
+	// Running: until the runner tells its end. A request that was answered or left goes on to that end, and
+	// the module hears it, but makes no more calls.
+	begun := c.clock.Now()
+	var at Notice // the call that the run stands at
+	calls := 0
+	giveUp := func() {}
+	defer func() { giveUp() }()
+	for {
+		switch m := l.box.next().(type) {
+		case Notice:
+			if !m.Ended {
+				pool.Put(at.Body)
+				at = m
+				c.tell(l, policy.CallNeeded{ID: l.id})
+				continue
+			}
+			switch {
+			case m.Outcome == policy.OK:
+				l.answer(Outcome{Verdict: Served, Result: m.Body})
+			case !gone:
+				l.fail()
+			}
+			pool.Put(at.Body)
+			m.Made = min(c.clock.Now(), begun+m.Took) // a late notice must not make the result look fresher
+			c.finish(l, m)
+			return
+		case policy.CallOut:
+			giveUp() // a second call for one request gives up the first
+			if l.answered || gone {
+				continue // the module hears of the run's end
+			}
+			calls++
+			giveUp = l.call(calls, m, at.Body)
+		case returned:
+			if m.nth != calls || l.answered || gone {
+				pool.Put(m.body)
+				continue
+			}
+			if m.outcome == policy.OK {
+				c.runner.Return(run, m.body)
+			}
+			pool.Put(m.body)
+			c.tell(l, policy.CallReturned{ID: l.id, Outcome: m.outcome, Took: clock.Duration(m.took)})
+		case policy.SkipCall:
+			c.runner.Skip(run, at.N)
+		case policy.Fail, policy.Refuse:
+			l.fail() // never as a refusal: it was begun
+			giveUp()
+			c.runner.Drop(run)
+		case callerGone:
+			gone = true
+			giveUp()
+			c.tell(l, policy.CallerGone{ID: l.id})
+			c.runner.Drop(run)
+		}
+	}
+}
+
+// call makes one call below; the function it returns gives the call up.
+func (l *Life) call(nth int, order policy.CallOut, body []byte) func() {
+	c := l.core
+	limit := clock.Millis(order.MaxWait)
+	if limit <= 0 {
+		limit = clock.Millis(c.deadline(l.req.Class))
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	body = pool.Copy(body) // the life may move on to its next call while this one is being given up
+	begun := c.clock.Now()
+	go func() {
+		defer cancel()
+		outcome, reply := c.below.Call(ctx, l.req.ID, limit, body)
+		pool.Put(body)
+		l.box.put(returned{nth: nth, outcome: outcome, took: c.clock.Now() - begun, body: reply})
+	}()
+	return cancel
+}
--- /dev/null
+++ b/internal/core/request.go
@@ -0,0 +1,81 @@
+// Package core serves requests by the decisions of the policy module. It knows requests, attempts and
+// outcomes, and no wire: fronts bring requests, a Runner does their work, a Below answers their calls.
+package core
+
+import (
+	"context"
+
+	"puffinsaddle/policy"
+)
+
+// Request is something that a caller wants done.
+type Request struct {
+	ID    string // new with every try
+	Class string
+	At    float64 // when it reached the machine, in Unix milliseconds
+	Wait  float64 // how long its caller waits from At, in milliseconds; 0: not told
+	From  int64   // the number of the caller
+	Retry bool    // known to be a further try
+	KB    float64 // memory booked while it is held
+	Rank  float64
+	Key   string // what a read is about; empty: not told
+	Body  []byte
+}
+
+// Verdict is what became of a request, for its caller.
+type Verdict int
+
+// The verdicts. Refused promises that this try never ran.
+const (
+	Served Verdict = iota
+	Refused
+	Failed
+	Overdue // failed, since its time is up
+)
+
+// Outcome is the one final answer to a request.
+type Outcome struct {
+	Verdict Verdict
+	Result  []byte  // of a served request; good until the answer function returns
+	After   float64 // on a refusal: come back after so many milliseconds; 0: any time
+	Last    bool    // on a refusal: try no other server
+	Unknown bool    // on a refusal: of a class that nobody told us of
+}
+
+// Attempt is one run of a request at a Runner. An order server makes one at most for each request.
+type Attempt struct {
+	Request *Request
+	Due     float64 // when the answer is due, in Unix milliseconds
+	Notify  func(Notice)
+}
+
+// Notice is what a Runner tells of an attempt. Exactly one with Ended set comes last.
+type Notice struct {
+	Ended   bool           // else the run stands at a call
+	N       uint64         // number of the notice
+	Outcome policy.Outcome // how it ended
+	Took    float64        // milliseconds that it ran
+	Made    float64        // when the result was made, in Unix milliseconds, no later than it truly was
+	Body    []byte         // the result, or what to call with; the life that is told owns it
+}
+
+// Runner does the work of requests. No method blocks.
+type Runner interface {
+	Start(*Attempt)
+	Return(*Attempt, []byte)       // the reply to the call that the run stands at; copied
+	Skip(*Attempt, uint64)         // go on without the call of that notice
+	Drop(*Attempt)                 // nobody waits for it any more
+	Meter(func(gauges []float64))  // calls back once the gauges are read, or never
+	Diagnose(func(good bool)) bool // a deep check; false: there is no telling now
+}
+
+// Below answers the calls that runs stand at. Call gives up when its context ends.
+type Below interface {
+	Call(ctx context.Context, id string, maxMs float64, body []byte) (policy.Outcome, []byte)
+}
+
+// Ledger keeps the ids of effects that were begun, so that none begins twice.
+type Ledger interface {
+	// Begin records an effect before its run; false: it was begun before. An error: it is not recorded.
+	Begin(id string) (bool, error)
+}
--- /dev/null
+++ b/internal/net/executor/executor.go
@@ -0,0 +1,376 @@
+// Package executor speaks with the executor, which does the work: one link that is held open, on which
+// commands and notices are lines of words.
+package executor
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"sort"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"puffinsaddle/internal/core"
+	"puffinsaddle/internal/net/pool"
+	"puffinsaddle/policy"
+)
+
+const (
+	redial      = 20 * time.Millisecond
+	mostPayload = 1 << 20 // bytes of a result or a call's body; the protocol has 4 KiB
+	mostWaiting = 4 << 20 // bytes of commands that wait for a slow executor; past this the link is made anew
+	mostAsked   = 64      // gauges and checks asked for at once
+)
+
+// Link is the link to the executor, made anew whenever it breaks.
+type Link struct {
+	address string
+	log     zerolog.Logger
+	up      func(cold bool, ageMs float64)
+	kick    chan struct{}
+
+	mu     sync.Mutex
+	conn   net.Conn
+	ready  bool   // the fence has passed: every command goes out as it is given
+	fence  string // tag of the METER that closes what the executor tells of the time without a link
+	out    []byte // commands for the writer
+	last   uint64 // the last notice that was read
+	seq    uint64
+	runs   map[string]*run
+	meters map[string]func([]float64)
+	checks map[string]func(bool)
+}
+
+// run is an attempt that the executor has, or should have.
+type run struct {
+	attempt *core.Attempt
+	seq     uint64
+	command []byte // the last command, until a notice shows that it arrived
+}
+
+// New makes a link; up is called at each WELCOME.
+func New(address string, log zerolog.Logger, up func(cold bool, ageMs float64)) *Link {
+	return &Link{address: address, log: log, up: up, kick: make(chan struct{}, 1), runs: map[string]*run{},
+		meters: map[string]func([]float64){}, checks: map[string]func(bool){}}
+}
+
+// Run keeps the link until the context ends.
+func (l *Link) Run(ctx context.Context) {
+	var d net.Dialer
+	for ctx.Err() == nil {
+		conn, err := d.DialContext(ctx, "tcp", l.address)
+		if err == nil {
+			stop := context.AfterFunc(ctx, func() { conn.Close() })
+			err = l.hold(conn)
+			stop()
+			conn.Close()
+			l.log.Warn().Err(err).Msg("executor link ended")
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(redial):
+		}
+	}
+}
+
+// hold joins and serves one connection to its end.
+func (l *Link) hold(conn net.Conn) error {
+	l.mu.Lock()
+	l.conn, l.ready, l.fence = conn, false, ""
+	l.out = append(l.out[:0], fmt.Sprintf("JOIN %d\r\n", l.last)...)
+	clear(l.meters) // asked on a link that is gone; nothing waits for them
+	checks := l.checks
+	l.checks = map[string]func(bool){}
+	l.mu.Unlock()
+	for _, answer := range checks {
+		answer(false)
+	}
+	done := make(chan struct{})
+	defer func() {
+		l.mu.Lock()
+		l.conn, l.ready = nil, false
+		l.mu.Unlock()
+		close(done)
+	}()
+	go l.write(conn, done)
+	l.wake()
+	return l.read(bufio.NewReaderSize(conn, 64<<10))
+}
+
+func (l *Link) wake() {
+	select {
+	case l.kick <- struct{}{}:
+	default:
+	}
+}
+
+func (l *Link) write(conn net.Conn, done <-chan struct{}) {
+	var buf []byte
+	for {
+		select {
+		case <-done:
+			l.wake() // the kick may have been meant for the next link's writer
+			return
+		case <-l.kick:
+		}
+		l.mu.Lock()
+		if l.conn != conn {
+			l.mu.Unlock()
+			l.wake()
+			return
+		}
+		buf, l.out = l.out, buf[:0]
+		l.mu.Unlock()
+		if len(buf) == 0 {
+			continue
+		}
+		if _, err := conn.Write(buf); err != nil {
+			conn.Close()
+			return
+		}
+	}
+}
+
+// send queues a command; the lock is held.
+func (l *Link) send(b []byte) {
+	if l.conn == nil {
+		return
+	}
+	if len(l.out)+len(b) > mostWaiting {
+		l.log.Error().Msg("the executor does not read; linking anew")
+		l.conn.Close()
+		return
+	}
+	l.out = append(l.out, b...)
+	l.wake()
+}
+
+// command gives a run's command, and keeps it until a notice shows that it arrived.
+func (l *Link) command(id string, b []byte) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	r := l.runs[id]
+	if r == nil {
+		return
+	}
+	r.command = b
+	if l.ready {
+		l.send(b)
+	}
+}
+
+// Start runs a request.
+func (l *Link) Start(a *core.Attempt) {
+	q := a.Request
+	l.mu.Lock()
+	l.seq++
+	l.runs[q.ID] = &run{attempt: a, seq: l.seq}
+	l.mu.Unlock()
+	b := make([]byte, 0, len(q.Body)+len(q.Class)+40)
+	b = fmt.Appendf(b, "EXEC %s %s %d\r\n", q.ID, q.Class, len(q.Body))
+	l.command(q.ID, append(append(b, q.Body...), "\r\n"...))
+}
+
+// Return hands a run the reply to its call.
+func (l *Link) Return(a *core.Attempt, reply []byte) {
+	b := fmt.Appendf(make([]byte, 0, len(reply)+40), "RETURN %s %d\r\n", a.Request.ID, len(reply))
+	l.command(a.Request.ID, append(append(b, reply...), "\r\n"...))
+}
+
+// Skip lets a run go on without a call.
+func (l *Link) Skip(a *core.Attempt, notice uint64) {
+	l.command(a.Request.ID, fmt.Appendf(nil, "BYPASS %s %d\r\n", a.Request.ID, notice))
+}
+
+// Drop does nothing: the executor sees for itself whose caller has gone or got an answer.
+func (l *Link) Drop(*core.Attempt) {}
+
+// Meter asks for the gauges.
+func (l *Link) Meter(got func([]float64)) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.ready || len(l.meters) >= mostAsked {
+		return
+	}
+	l.seq++
+	tag := "m" + strconv.FormatUint(l.seq, 10)
+	l.meters[tag] = got
+	l.send([]byte("METER " + tag + "\r\n"))
+}
+
+// Diagnose does the work of a deep check.
+func (l *Link) Diagnose(answer func(good bool)) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.ready || len(l.checks) >= mostAsked {
+		return false
+	}
+	l.seq++
+	tag := "d" + strconv.FormatUint(l.seq, 10)
+	l.checks[tag] = answer
+	l.send([]byte("DIAG " + tag + "\r\n"))
+	return true
+}
+
+// read takes notices until the link ends or breaks the protocol.
+func (l *Link) read(r *bufio.Reader) error {
+	for {
+		line, err := r.ReadSlice('\n')
+		if err != nil {
+			return err
+		}
+		words := strings.Fields(string(line))
+		if len(words) == 0 {
+			return errors.New("empty line")
+		}
+		var body []byte
+		if words[0] == "EXIT" || words[0] == "CALLOUT" {
+			n, err := strconv.Atoi(words[len(words)-1])
+			if err != nil || n < 0 || n > mostPayload {
+				return fmt.Errorf("no length: %q", line)
+			}
+			body = pool.Get(n)
+			if _, err := io.ReadFull(r, body); err != nil {
+				return err
+			}
+			var end [2]byte
+			if _, err := io.ReadFull(r, end[:]); err != nil {
+				return err
+			}
+			if !bytes.Equal(end[:], []byte("\r\n")) {
+				return errors.New("a body does not end where it should")
+			}
+		}
+		if err := l.notice(words, body); err != nil {
+			return fmt.Errorf("%w: %q", err, words)
+		}
+	}
+}
+
+var errMalformed = errors.New("malformed notice")
+
+func (l *Link) notice(w []string, body []byte) error {
+	switch {
+	case w[0] == "WELCOME" && len(w) == 3:
+		ms, err := strconv.ParseFloat(w[2], 64)
+		if err != nil {
+			return errMalformed
+		}
+		l.up(w[1] == "booting", ms)
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		// What the executor got of the last link's commands shows only in its notices. The answer to
+		// this METER comes after all of them, so what then has no notice did not arrive.
+		l.seq++
+		l.fence = "f" + strconv.FormatUint(l.seq, 10)
+		l.send([]byte("METER " + l.fence + "\r\n"))
+	case w[0] == "EXIT" && len(w) == 6:
+		n, err := strconv.ParseUint(w[1], 10, 64)
+		ms, err2 := strconv.ParseFloat(w[4], 64)
+		if err != nil || err2 != nil {
+			return errMalformed
+		}
+		outcome, ok := map[string]policy.Outcome{"success": policy.OK, "failure": policy.Failed,
+			"interrupted": policy.Cancelled, "nothing": policy.Moot}[w[3]]
+		if !ok {
+			return errMalformed
+		}
+		l.tell(n, w[2], core.Notice{Ended: true, N: n, Outcome: outcome, Took: ms, Body: body})
+	case w[0] == "CALLOUT" && len(w) == 4:
+		n, err := strconv.ParseUint(w[1], 10, 64)
+		if err != nil {
+			return errMalformed
+		}
+		l.tell(n, w[2], core.Notice{N: n, Body: body})
+	case w[0] == "METERS" && len(w) >= 2:
+		l.metered(w[1], w[2:])
+	case w[0] == "DIAGNOSED" && len(w) == 3:
+		l.mu.Lock()
+		answer := l.checks[w[1]]
+		delete(l.checks, w[1])
+		l.mu.Unlock()
+		if answer != nil {
+			answer(w[2] == "success")
+		}
+	case w[0] == "BAD" && len(w) >= 3:
+		l.log.Error().Strs("notice", w).Msg("command not carried out")
+		if w[1] == "EXEC" { // it never ran, and nothing else will tell its end
+			l.tell(0, w[2], core.Notice{Ended: true, Outcome: policy.Moot})
+		}
+	case w[0] == "BAD":
+	case w[0] == "LOG" && len(w) >= 2:
+		if n, err := strconv.ParseUint(w[1], 10, 64); err == nil {
+			l.tell(n, "", core.Notice{})
+		}
+		l.log.Debug().Strs("notice", w).Msg("executor")
+	default:
+		return errMalformed
+	}
+	return nil
+}
+
+// tell passes a notice on once; a new link may bring some again.
+func (l *Link) tell(n uint64, id string, notice core.Notice) {
+	l.mu.Lock()
+	if n > 0 {
+		if n <= l.last {
+			l.mu.Unlock()
+			pool.Put(notice.Body)
+			return
+		}
+		l.last = n
+	}
+	r := l.runs[id]
+	if r != nil {
+		r.command = nil
+		if notice.Ended {
+			delete(l.runs, id)
+		}
+	}
+	l.mu.Unlock()
+	if r == nil {
+		pool.Put(notice.Body)
+		return
+	}
+	r.attempt.Notify(notice)
+}
+
+func (l *Link) metered(tag string, values []string) {
+	l.mu.Lock()
+	if tag == l.fence && !l.ready {
+		l.ready = true
+		var again []*run
+		for _, r := range l.runs {
+			if r.command != nil {
+				again = append(again, r)
+			}
+		}
+		sort.Slice(again, func(i, j int) bool { return again[i].seq < again[j].seq })
+		for _, r := range again {
+			l.send(r.command)
+		}
+	}
+	got := l.meters[tag]
+	delete(l.meters, tag)
+	l.mu.Unlock()
+	if got == nil {
+		return
+	}
+	gauges := make([]float64, len(values))
+	for i, v := range values {
+		x, err := strconv.ParseFloat(v, 64)
+		if err != nil {
+			x = -1 // a gauge that is not told
+		}
+		gauges[i] = x
+	}
+	got(gauges)
+}
--- /dev/null
+++ b/internal/net/respfront/front.go
@@ -0,0 +1,401 @@
+// Package respfront is the front for the platform's routers: RESP arrays over TCP, answered in any order.
+//
+// It stands on redcon's reader and writers, on connections that are its own from the start. redcon's server
+// loop is not used: it answers in order, its parser runs where a panic can't be caught (a bulk length near
+// the largest integer makes it panic, see the tests), and it ends connections by itself when it stops.
+package respfront
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/tidwall/redcon"
+
+	"puffinsaddle/internal/clock"
+	"puffinsaddle/internal/core"
+	"puffinsaddle/internal/net/pool"
+)
+
+const (
+	mostOpen    = 32        // open requests on a connection, by the protocol
+	mostUnread  = 16 << 10  // bytes of one command; the protocol's largest takes some 2.5 KiB
+	mostUnsent  = 512 << 10 // bytes of answers that wait for a slow reader; its connection ends then
+	acceptPause = 5 * time.Millisecond
+	lastAccepts = 5 * time.Millisecond // a listener that is to close goes on accepting for so long
+	sweepMs     = 500                  // how often idle connections are looked for
+)
+
+// Front accepts routers.
+type Front struct {
+	core  *core.Core
+	clock *clock.Clock
+	log   zerolog.Logger
+	ln    *net.TCPListener
+	most  int // connections
+	done  chan struct{}
+
+	mu       sync.Mutex
+	conns    map[*conn]bool
+	draining bool
+	closed   bool
+}
+
+// Listen opens the listening socket; Serve has to be called next.
+func Listen(address string, most int, c *core.Core, clk *clock.Clock, log zerolog.Logger) (*Front, error) {
+	ln, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	return &Front{core: c, clock: clk, log: log, ln: ln.(*net.TCPListener), most: most, done: make(chan struct{}),
+		conns: map[*conn]bool{}}, nil
+}
+
+// Addr is where the front listens.
+func (f *Front) Addr() net.Addr { return f.ln.Addr() }
+
+// Serve accepts connections until the listener is shut.
+func (f *Front) Serve() {
+	defer close(f.done)
+	f.clock.After(sweepMs, f.sweep)
+	for {
+		nc, err := f.ln.Accept()
+		if err != nil {
+			if errors.Is(err, net.ErrClosed) || isTimeout(err) {
+				return
+			}
+			f.log.Warn().Err(err).Msg("accept") // out of descriptors, most likely: some will be freed
+			time.Sleep(acceptPause)
+			continue
+		}
+		f.welcome(nc)
+	}
+}
+
+func isTimeout(err error) bool {
+	var ne net.Error
+	return errors.As(err, &ne) && ne.Timeout()
+}
+
+func (f *Front) welcome(nc net.Conn) {
+	c := &conn{front: f, nc: nc, open: map[uint64]*core.Life{}, kick: make(chan struct{}, 1), used: f.clock.Now()}
+	f.mu.Lock()
+	if len(f.conns) >= f.most {
+		f.mu.Unlock()
+		nc.Close() // nothing was read; routers hold to fewer
+		return
+	}
+	f.conns[c] = true
+	if f.draining {
+		c.closing()
+	}
+	f.mu.Unlock()
+	go c.write()
+	go c.read()
+}
+
+// Drain asks all routers for no new requests. The listener stays open: to close it would reset what waits in
+// its queue, which the machine has accepted and we therefore owe answers.
+func (f *Front) Drain() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.draining = true
+	for c := range f.conns {
+		c.closing()
+	}
+}
+
+// Shut closes the listener once its queue is empty.
+func (f *Front) Shut() {
+	f.ln.SetDeadline(time.Now().Add(lastAccepts))
+	<-f.done
+	f.ln.Close()
+}
+
+// Flushed tells that all answers are written.
+func (f *Front) Flushed() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for c := range f.conns {
+		if c.unsent() {
+			return false
+		}
+	}
+	return true
+}
+
+// Close ends all connections.
+func (f *Front) Close() {
+	f.ln.Close()
+	f.mu.Lock()
+	f.closed = true
+	conns := make([]*conn, 0, len(f.conns))
+	for c := range f.conns {
+		conns = append(conns, c)
+	}
+	f.mu.Unlock()
+	for _, c := range conns {
+		c.nc.Close()
+	}
+}
+
+// sweep asks routers to close what was idle for longer than the module wants. They close it, not we, so that
+// no request crosses the close.
+func (f *Front) sweep() {
+	f.mu.Lock()
+	closed := f.closed
+	if after := f.core.CloseIdle(); after > 0 && !closed {
+		for c := range f.conns {
+			if c.idleSince(f.clock.Now() - after) {
+				c.closing()
+			}
+		}
+	}
+	f.mu.Unlock()
+	if !closed {
+		f.clock.After(sweepMs, f.sweep)
+	}
+}
+
+func (f *Front) leave(c *conn) {
+	f.mu.Lock()
+	delete(f.conns, c)
+	f.mu.Unlock()
+}
+
+// conn is one connection: one goroutine reads it, one writes it, and answers come from lives in any order.
+type conn struct {
+	front  *Front
+	nc     net.Conn
+	kick   chan struct{}
+	unread int // bytes read and not yet part of a whole command; the reader's own
+
+	mu      sync.Mutex
+	open    map[uint64]*core.Life
+	out     []byte
+	writing bool
+	told    bool // 'closing' was sent
+	ended   bool // no more is read
+	broken  bool
+	used    float64
+}
+
+// Read bounds what one command may make redcon's reader hold.
+func (c *conn) Read(b []byte) (int, error) {
+	if c.unread > mostUnread {
+		return 0, errors.New("command too long")
+	}
+	n, err := c.nc.Read(b)
+	c.unread += n
+	return n, err
+}
+
+// read takes commands until the router ends the connection or sends what is none.
+func (c *conn) read() {
+	err := c.commands()
+	c.mu.Lock()
+	c.ended = true
+	var left []*core.Life
+	if err != io.EOF {
+		// Broken, or not understood: nobody reads answers here any more. After a plain end the router may
+		// still do so, and an answer that nobody wants does no harm.
+		c.broken = true
+		for tag, l := range c.open {
+			left = append(left, l)
+			delete(c.open, tag)
+		}
+	}
+	c.mu.Unlock()
+	for _, l := range left {
+		l.Gone()
+	}
+	c.wake()
+}
+
+func (c *conn) commands() (err error) {
+	defer func() {
+		if p := recover(); p != nil { // redcon's parser, on malformed lengths
+			err = fmt.Errorf("malformed command: %v", p)
+		}
+		if err != nil && err != io.EOF && !errors.Is(err, net.ErrClosed) {
+			c.front.log.Debug().Err(err).Stringer("from", c.nc.RemoteAddr()).Msg("connection ended")
+		}
+	}()
+	r := redcon.NewReader(c)
+	for {
+		cmd, err := r.ReadCommand()
+		if err != nil {
+			return err
+		}
+		c.unread = max(c.unread-len(cmd.Raw), 0)
+		if err := c.command(cmd.Args); err != nil {
+			return err
+		}
+	}
+}
+
+func (c *conn) command(args [][]byte) error {
+	if len(args) < 2 {
+		return errors.New("no tag")
+	}
+	tag, err := strconv.ParseUint(string(args[1]), 10, 64)
+	if err != nil || tag == 0 {
+		return fmt.Errorf("tag %q is not a number from 1 up", args[1])
+	}
+	switch {
+	case bytes.Equal(args[0], []byte("REQ")):
+		return c.request(tag, args)
+	case bytes.Equal(args[0], []byte("ABORT")):
+		c.mu.Lock()
+		l := c.open[tag]
+		delete(c.open, tag)
+		c.mu.Unlock()
+		if l != nil {
+			l.Gone()
+		}
+		return nil
+	case bytes.Equal(args[0], []byte("HEALTH")):
+		deep := false
+		if len(args) > 2 {
+			f, err := parseFields(args[2])
+			if err != nil {
+				return err
+			}
+			deep = f["deep"] == "1"
+		}
+		c.front.core.Health(deep, func(good bool) {
+			say, says := c.front.core.Say()
+			c.send(func(b []byte) []byte { return appendHealth(b, tag, say, says, good) })
+		})
+		return nil
+	}
+	return fmt.Errorf("unknown command %q", args[0])
+}
+
+func (c *conn) request(tag uint64, args [][]byte) error {
+	q, err := request(args)
+	if err != nil {
+		return err
+	}
+	q.Body = pool.Copy(q.Body) // the arguments are redcon's
+	c.mu.Lock()
+	_, twice := c.open[tag]
+	crowded := len(c.open) >= mostOpen
+	if !twice && !crowded {
+		c.open[tag] = nil // the answer may come before Open returns
+	}
+	c.used = c.front.clock.Now()
+	c.mu.Unlock()
+	if twice {
+		return fmt.Errorf("tag %d is in use", tag)
+	}
+	if crowded {
+		c.answer(tag, core.Outcome{Verdict: core.Refused, After: 1})
+		return nil
+	}
+	l := c.front.core.Open(q, func(o core.Outcome) { c.answer(tag, o) })
+	c.mu.Lock()
+	if _, still := c.open[tag]; still {
+		c.open[tag] = l
+	}
+	c.mu.Unlock()
+	return nil
+}
+
+// answer gives a request its one answer.
+func (c *conn) answer(tag uint64, o core.Outcome) {
+	say, says := c.front.core.Say()
+	c.send(func(b []byte) []byte {
+		delete(c.open, tag)
+		c.used = c.front.clock.Now()
+		return appendAnswer(b, tag, say, says, o)
+	})
+}
+
+// send queues bytes for the writer and never waits.
+func (c *conn) send(add func([]byte) []byte) {
+	c.mu.Lock()
+	c.out = add(c.out)
+	if c.broken {
+		c.out = nil
+	} else if len(c.out) > mostUnsent {
+		c.broken = true
+		c.nc.Close() // it does not read its answers
+	}
+	c.mu.Unlock()
+	c.wake()
+}
+
+func (c *conn) wake() {
+	select {
+	case c.kick <- struct{}{}:
+	default:
+	}
+}
+
+// closing asks the router for no new requests.
+func (c *conn) closing() {
+	c.mu.Lock()
+	told := c.told
+	c.told = true
+	c.mu.Unlock()
+	if !told {
+		c.send(appendClosing)
+	}
+}
+
+func (c *conn) idleSince(ms float64) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.open) == 0 && c.used < ms
+}
+
+func (c *conn) unsent() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.broken && (c.writing || len(c.out) > 0)
+}
+
+// write sends what is queued, and closes the connection when nothing more can come.
+func (c *conn) write() {
+	defer c.front.leave(c)
+	defer c.nc.Close()
+	var buf []byte
+	for range c.kick {
+		for {
+			c.mu.Lock()
+			buf, c.out = c.out, buf[:0]
+			c.writing = len(buf) > 0
+			over := c.broken || c.ended && len(c.open) == 0 && len(buf) == 0
+			c.mu.Unlock()
+			if over {
+				return
+			}
+			if len(buf) == 0 {
+				break
+			}
+			if _, err := c.nc.Write(buf); err != nil {
+				c.mu.Lock()
+				c.broken = true
+				left := c.open
+				c.open = map[uint64]*core.Life{}
+				c.mu.Unlock()
+				for _, l := range left {
+					if l != nil {
+						l.Gone()
+					}
+				}
+				return
+			}
+			if cap(buf) > 4*pool.Size {
+				buf = nil // a burst must not stay in memory
+			}
+		}
+	}
+}
