Add the uwsgi front and runner on the same core, the drain, and stories over loopback

Both fronts open requests at one core; the accept loop and its loss-free end are shared.

Seen while writing them: redcon's parser indexes out of range on a bulk length near the largest integer, so it runs where the panic ends one connection.

--- a/cmd/puffinsaddle/main.go
+++ b/cmd/puffinsaddle/main.go
@@ -10,7 +10,6 @@
 	"runtime"
 	"runtime/debug"
 	"syscall"
-	"time"
 
 	"github.com/rs/zerolog"
 
@@ -20,15 +19,13 @@
 	"puffinsaddle/internal/net/executor"
 	"puffinsaddle/internal/net/members"
 	"puffinsaddle/internal/net/respfront"
+	"puffinsaddle/internal/net/uwsgi"
 	"puffinsaddle/internal/net/vault"
 )
 
 const (
 	spareSockets = 64  // descriptors for the executor, the vault, logs and the rest
 	memoryPart   = 0.7 // of the limit, from which the collector works harder; stacks and sockets need the rest
-	shutMs       = 250 // before the stop, the listener closes: what comes later could not be answered
-	leaveMs      = 25  // and the process ends so long before
-	lookEvery    = 5 * time.Millisecond
 )
 
 func main() {
@@ -56,33 +53,58 @@
 	defer cancel()
 	clk := clock.System()
 	var c *core.Core
-	link := executor.New(cfg.Executor, log, func(cold bool, ageMs float64) { c.Up(cold) })
-	c = core.New(clk, log, cfg.Settings, cfg.Seed, link, vault.New(cfg.Vault, clk), nil)
-	front, err := respfront.Listen(cfg.Listen, cfg.Sockets-spareSockets, c, clk, log)
+	var runner core.Runner
+	var link *executor.Link
+	if cfg.Executor != "" {
+		link = executor.New(cfg.Executor, log, func(cold bool, ageMs float64) { c.Up(cold) })
+		runner = link
+	}
+	if len(cfg.Operator.UWSGI.Servers) > 0 { // the operator's choice of who does the work comes first
+		runner, link = uwsgi.NewRunner(cfg.Operator.UWSGI, clk, log), nil
+	}
+	c = core.New(clk, log, cfg.Settings, cfg.Seed, runner, vault.New(cfg.Vault, clk), nil)
+	fronts, err := listen(cfg, c, clk, log)
 	if err != nil {
 		return err
 	}
-	reporter := members.New(cfg.Members, cfg.Name)
 	go c.Run()
-	go link.Run(ctx)
-	go front.Serve()
-	go reporter.Run(ctx)
-	log.Info().Str("listen", cfg.Listen).Msg("serving")
+	if link != nil {
+		go link.Run(ctx)
+	} else {
+		c.Up(false)
+	}
+	reporter := members.New(cfg.Members, cfg.Name)
+	if cfg.Members != "" {
+		go reporter.Run(ctx)
+	}
 
 	<-notice
-	stopAt := clk.Now() + cfg.StopMs
 	log.Info().Float64("stop_ms", cfg.StopMs).Msg("draining")
-	c.Drain(stopAt)
 	reporter.Leave()
-	front.Drain()
-	// Until the listener closes, routers that have not heard of the drain may still come.
-	time.Sleep(clock.Duration(max(stopAt-shutMs-clk.Now(), 0)))
-	front.Shut()
-	for clk.Now() < stopAt-leaveMs && (c.Owed() > 0 || !front.Flushed()) {
-		time.Sleep(lookEvery)
-	}
-	time.Sleep(clock.Duration(min(max(stopAt-leaveMs-clk.Now(), 0), shutMs/2))) // requests that crossed 'closing'
-	log.Info().Int("owed", c.Owed()).Msg("leaving")
-	front.Close()
+	c.Leave(cfg.StopMs, fronts...)
 	return nil
 }
+
+// listen opens the fronts that the configuration names.
+func listen(cfg *config.Config, c *core.Core, clk *clock.Clock, log zerolog.Logger) ([]core.Front, error) {
+	var fronts []core.Front
+	if cfg.Listen != "" {
+		f, err := respfront.Listen(cfg.Listen, cfg.Sockets-spareSockets, c, clk, log)
+		if err != nil {
+			return nil, err
+		}
+		log.Info().Stringer("at", f.Addr()).Msg("serving routers")
+		go f.Serve()
+		fronts = append(fronts, f)
+	}
+	if cfg.Operator.UWSGI.Listen != "" {
+		f, err := uwsgi.Listen(cfg.Operator.UWSGI, c, clk, log)
+		if err != nil {
+			return nil, err
+		}
+		log.Info().Stringer("at", f.Addr()).Msg("serving uwsgi")
+		go f.Serve()
+		fronts = append(fronts, f)
+	}
+	return fronts, nil
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -110,6 +110,7 @@
 
 func (c *Core) leave(l *Life) {
 	l.settle()
+	pool.Put(l.req.Body) // whatever ran has ended, and the runner has copied what it still sends
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	delete(c.lives, l.id)
--- /dev/null
+++ b/internal/core/drain.go
@@ -0,0 +1,59 @@
+package core
+
+import (
+	"time"
+
+	"puffinsaddle/internal/clock"
+)
+
+const (
+	shutMs    = 250.0 // before the stop, listeners close: what comes later could not be answered
+	leaveMs   = 25.0  // and the process ends so long before
+	lookEvery = 5 * time.Millisecond
+)
+
+// Front is what brings requests.
+type Front interface {
+	Drain()        // ask callers for no new requests
+	Shut()         // take no new connection, once the listening queue is empty
+	Flushed() bool // nothing is left to write
+	Close()
+}
+
+// Leave carries out the notice to drain: the module hears it, callers are asked to stay away, and all that was
+// read, or waits in a listening queue, gets its answer before the process is stopped.
+func (c *Core) Leave(stopMs float64, fronts ...Front) {
+	stopAt := c.clock.Now() + stopMs
+	c.Drain(stopAt)
+	for _, f := range fronts {
+		f.Drain()
+	}
+	// Until the listeners close, callers that have not heard of the drain may still come.
+	c.sleepUntil(stopAt - min(shutMs, stopMs/2))
+	for _, f := range fronts {
+		f.Shut()
+	}
+	for c.clock.Now() < stopAt-leaveMs && !c.done(fronts) {
+		time.Sleep(lookEvery)
+	}
+	c.sleepUntil(min(c.clock.Now()+shutMs/2, stopAt-leaveMs)) // for requests that crossed the asking
+	c.log.Info().Int("owed", c.Owed()).Msg("leaving")
+	for _, f := range fronts {
+		f.Close()
+	}
+}
+
+func (c *Core) done(fronts []Front) bool {
+	for _, f := range fronts {
+		if !f.Flushed() {
+			return false
+		}
+	}
+	return c.Owed() == 0
+}
+
+func (c *Core) sleepUntil(at float64) {
+	for rest := at - c.clock.Now(); rest > 0; rest = at - c.clock.Now() {
+		time.Sleep(clock.Duration(rest))
+	}
+}
--- /dev/null
+++ b/internal/net/peers_test.go
@@ -0,0 +1,371 @@
+package net_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"maps"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/tidwall/redcon"
+
+	"puffinsaddle/internal/clock"
+	"puffinsaddle/internal/config"
+	"puffinsaddle/internal/core"
+	"puffinsaddle/internal/net/executor"
+	"puffinsaddle/internal/net/respfront"
+	"puffinsaddle/internal/net/uwsgi"
+	"puffinsaddle/internal/net/vault"
+	"puffinsaddle/policy"
+)
+
+const patience = 20 * time.Second // a story that hangs fails by then; none is timed
+
+var settings = policy.Settings{
+	Classes: []policy.Class{
+		{Name: "tank-level", Aim: 600 * time.Millisecond, Deadline: 20 * time.Second, Worth: 1, LateValue: 1, Calls: true, SkipWorth: 0.5},
+		{Name: "book-delivery", Aim: 600 * time.Millisecond, Deadline: 20 * time.Second, Worth: 4, LateValue: 1, Safety: policy.Unsafe},
+	},
+	Servers: 2, Callers: 2, Cores: 50, MemoryKB: 1e6, RunFactor: 4, FallMultiple: 8, FallSpan: 3 * time.Second,
+	FreshFor: 200 * time.Millisecond, DrainGrace: 2500 * time.Millisecond, PassesDeadline: true, MarksRetry: true,
+	Below: true, BelowShare: 100, CallSpan: 5 * time.Second, MaxPause: time.Second, Hint: policy.HintCredit,
+	BusyGauge: 0, RunnableGauge: 1, MemoryGauge: 2, ConnGauge: 3, ColdShare: 1,
+}
+
+func must(t *testing.T, err error) {
+	t.Helper()
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
+// house is an order server whose surroundings the test plays.
+type house struct {
+	t    *testing.T
+	core *core.Core
+	resp *respfront.Front
+	uw   *uwsgi.Front
+}
+
+func build(t *testing.T, runner core.Runner, below core.Below, set config.UWSGI, hand func(*core.Core)) *house {
+	clk := clock.System()
+	c := core.New(clk, zerolog.Nop(), settings, 1, runner, below, nil)
+	if hand != nil {
+		hand(c)
+	}
+	h := &house{t: t, core: c}
+	var err error
+	h.resp, err = respfront.Listen("127.0.0.1:0", 64, c, clk, zerolog.Nop())
+	must(t, err)
+	set.Listen, set.Conns, set.KB = "127.0.0.1:0", 64, 10
+	set.MaxBody, set.MaxResult = 4096, 4096
+	if set.ReadMs == 0 {
+		set.ReadMs = 1e6
+	}
+	h.uw, err = uwsgi.Listen(set, c, clk, zerolog.Nop())
+	must(t, err)
+	go c.Run()
+	go h.resp.Serve()
+	go h.uw.Serve()
+	t.Cleanup(func() { c.Stop(); h.resp.Close(); h.uw.Close() })
+	return h
+}
+
+// withExecutor builds a house that has a scripted executor.
+func withExecutor(t *testing.T, x *executorPeer, vaultAt string) *house {
+	var c *core.Core
+	link := executor.New(x.ln.Addr().String(), zerolog.Nop(), func(cold bool, _ float64) { c.Up(cold) })
+	h := build(t, link, vault.New(vaultAt, clock.System()), config.UWSGI{}, func(made *core.Core) { c = made })
+	go link.Run(t.Context())
+	return h
+}
+
+type command struct {
+	words []string
+	body  []byte
+}
+
+// executorPeer plays the executor; the test reads its commands and writes its notices.
+type executorPeer struct {
+	t    *testing.T
+	ln   net.Listener
+	cmds chan command
+	mu   sync.Mutex
+	conn net.Conn
+	n    int
+}
+
+func newExecutor(t *testing.T) *executorPeer {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	must(t, err)
+	x := &executorPeer{t: t, ln: ln, cmds: make(chan command, 1000)}
+	t.Cleanup(func() { ln.Close() })
+	go func() {
+		for {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			x.mu.Lock()
+			x.conn = conn
+			x.mu.Unlock()
+			go x.read(bufio.NewReader(conn))
+		}
+	}()
+	return x
+}
+
+func (x *executorPeer) read(r *bufio.Reader) {
+	for {
+		line, err := r.ReadString('\n')
+		if err != nil {
+			return
+		}
+		c := command{words: strings.Fields(line)}
+		if c.words[0] == "EXEC" || c.words[0] == "RETURN" {
+			n, _ := strconv.Atoi(c.words[len(c.words)-1])
+			c.body = make([]byte, n+2)
+			if _, err := io.ReadFull(r, c.body); err != nil {
+				return
+			}
+			c.body = c.body[:n]
+		}
+		x.cmds <- c
+	}
+}
+
+// next is the next command but for the gauges, which are answered here.
+func (x *executorPeer) next() command {
+	x.t.Helper()
+	late := time.After(patience)
+	for {
+		select {
+		case c := <-x.cmds:
+			if c.words[0] == "METER" && !strings.HasPrefix(c.words[1], "f") {
+				x.say("METERS %s 0.1 0 0.1 1", c.words[1])
+				continue
+			}
+			return c
+		case <-late:
+			x.t.Fatal("no command came")
+		}
+	}
+}
+
+func (x *executorPeer) want(words ...string) command {
+	x.t.Helper()
+	c := x.next()
+	if got := strings.Join(c.words, " "); !strings.HasPrefix(got, strings.Join(words, " ")) {
+		x.t.Fatalf("command %q, want %q", got, words)
+	}
+	return c
+}
+
+func (x *executorPeer) say(format string, a ...any) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	fmt.Fprintf(x.conn, format+"\r\n", a...)
+}
+
+// notice numbers a notice; its last word is the length of the body.
+func (x *executorPeer) notice(kind, rest string, body string) {
+	x.n++
+	x.say("%s %d %s %d\r\n%s", kind, x.n, rest, len(body), body)
+}
+
+// welcome answers the joining, and the fence that comes after it.
+func (x *executorPeer) welcome(n int) {
+	x.t.Helper()
+	x.want("JOIN", strconv.Itoa(n))
+	x.say("WELCOME steady 5")
+}
+
+func (x *executorPeer) pass() {
+	x.t.Helper()
+	x.say("METERS %s 0.1 0 0.1 1", x.want("METER").words[1])
+}
+
+// routerPeer plays a router on one connection.
+type routerPeer struct {
+	t    *testing.T
+	conn net.Conn
+	r    *bufio.Reader
+}
+
+func (h *house) router() *routerPeer {
+	conn, err := net.Dial("tcp", h.resp.Addr().String())
+	must(h.t, err)
+	h.t.Cleanup(func() { conn.Close() })
+	conn.SetDeadline(time.Now().Add(patience))
+	return &routerPeer{h.t, conn, bufio.NewReader(conn)}
+}
+
+func (p *routerPeer) send(words ...string) {
+	b := redcon.AppendArray(nil, len(words))
+	for _, w := range words {
+		b = redcon.AppendBulkString(b, w)
+	}
+	p.conn.Write(b)
+}
+
+// req sends a request that came just now.
+func (p *routerPeer) req(tag, id int, class, more, body string) {
+	p.send("REQ", strconv.Itoa(tag), class, fmt.Sprintf("id=%016x,at=%d,from=4,kb=10,rank=0.5%s", id, time.Now().UnixMilli(), more), body)
+}
+
+// answer reads one array of bulk strings.
+func (p *routerPeer) answer() []string {
+	p.t.Helper()
+	line, err := p.r.ReadString('\n')
+	must(p.t, err)
+	n, err := strconv.Atoi(strings.TrimSpace(line[1:]))
+	must(p.t, err)
+	words := make([]string, n)
+	for i := range words {
+		line, err := p.r.ReadString('\n')
+		must(p.t, err)
+		size, err := strconv.Atoi(strings.TrimSpace(line[1:]))
+		must(p.t, err)
+		b := make([]byte, size+2)
+		_, err = io.ReadFull(p.r, b)
+		must(p.t, err)
+		words[i] = string(b[:size])
+	}
+	return words
+}
+
+func (p *routerPeer) want(words ...string) {
+	p.t.Helper()
+	got := p.answer()
+	for i, w := range words {
+		if i >= len(got) || got[i] != w {
+			p.t.Fatalf("answer %q, want %q", got, words)
+		}
+	}
+}
+
+// newVault plays the vault.
+func newVault(t *testing.T, do http.HandlerFunc) string {
+	s := httptest.NewServer(do)
+	t.Cleanup(s.CloseClientConnections)
+	return strings.TrimPrefix(s.URL, "http://")
+}
+
+// cut breaks the executor's link.
+func (x *executorPeer) cut() {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.conn.Close()
+}
+
+// obey runs whatever comes until the test ends, and counts the starts of each id.
+func (x *executorPeer) obey() (starts func() map[string]int) {
+	var mu sync.Mutex
+	count := map[string]int{}
+	go func() {
+		for c := range x.cmds {
+			switch c.words[0] {
+			case "METER":
+				x.say("METERS %s 0.1 0 0.1 1", c.words[1])
+			case "EXEC":
+				mu.Lock()
+				count[c.words[1]]++
+				mu.Unlock()
+				x.notice("EXIT", c.words[1]+" success 1", "for "+string(c.body))
+			}
+		}
+	}()
+	return func() map[string]int {
+		mu.Lock()
+		defer mu.Unlock()
+		return maps.Clone(count)
+	}
+}
+
+// packet writes a uwsgi packet by hand, so that the codec is not tested against itself.
+func packet(body string, vars ...string) string {
+	var block []byte
+	for _, v := range append(vars, "CONTENT_LENGTH", strconv.Itoa(len(body))) {
+		block = append(block, byte(len(v)), byte(len(v)>>8))
+		block = append(block, v...)
+	}
+	return string([]byte{0, byte(len(block)), byte(len(block) >> 8), 0}) + string(block) + body
+}
+
+// gateway opens a connection of the uwsgi front, sends bytes and ends its side of it if told so.
+func (h *house) gateway(b string, end bool) *gatewayPeer {
+	conn, err := net.Dial("tcp", h.uw.Addr().String())
+	must(h.t, err)
+	h.t.Cleanup(func() { conn.Close() })
+	conn.SetDeadline(time.Now().Add(patience))
+	io.WriteString(conn, b)
+	if end {
+		conn.(*net.TCPConn).CloseWrite()
+	}
+	return &gatewayPeer{h.t, conn}
+}
+
+type gatewayPeer struct {
+	t    *testing.T
+	conn net.Conn
+}
+
+// answers reads all that comes up to the end of the connection: it has to be one response.
+func (g *gatewayPeer) answers() (status int, head http.Header, body string) {
+	g.t.Helper()
+	r := bufio.NewReader(g.conn)
+	resp, err := http.ReadResponse(r, nil)
+	must(g.t, err)
+	b, err := io.ReadAll(resp.Body)
+	must(g.t, err)
+	if rest, _ := io.ReadAll(r); len(rest) > 0 {
+		g.t.Errorf("a second answer: %q", rest)
+	}
+	return resp.StatusCode, resp.Header, string(b)
+}
+
+// uwsgiServer plays a server that answers each request by do, which sees the variables and the body.
+func uwsgiServer(t *testing.T, do func(conn net.Conn, vars map[string]string, body string)) string {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	must(t, err)
+	t.Cleanup(func() { ln.Close() })
+	go func() {
+		for {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				head := make([]byte, 4)
+				if _, err := io.ReadFull(conn, head); err != nil {
+					return
+				}
+				block := make([]byte, int(head[1])|int(head[2])<<8)
+				io.ReadFull(conn, block)
+				var words []string
+				for len(block) >= 2 {
+					n := int(block[0]) | int(block[1])<<8
+					words, block = append(words, string(block[2:2+n])), block[2+n:]
+				}
+				vars := map[string]string{}
+				for i := 0; i+1 < len(words); i += 2 {
+					vars[words[i]] = words[i+1]
+				}
+				n, _ := strconv.Atoi(vars["CONTENT_LENGTH"])
+				body := make([]byte, n)
+				io.ReadFull(conn, body)
+				do(conn, vars, string(body))
+			}()
+		}
+	}()
+	return ln.Addr().String()
+}
--- a/internal/net/respfront/front.go
+++ b/internal/net/respfront/front.go
@@ -13,23 +13,21 @@
 	"net"
 	"strconv"
 	"sync"
-	"time"
 
 	"github.com/rs/zerolog"
 	"github.com/tidwall/redcon"
 
 	"puffinsaddle/internal/clock"
 	"puffinsaddle/internal/core"
+	"puffinsaddle/internal/net/accept"
 	"puffinsaddle/internal/net/pool"
 )
 
 const (
-	mostOpen    = 32        // open requests on a connection, by the protocol
-	mostUnread  = 16 << 10  // bytes of one command; the protocol's largest takes some 2.5 KiB
-	mostUnsent  = 512 << 10 // bytes of answers that wait for a slow reader; its connection ends then
-	acceptPause = 5 * time.Millisecond
-	lastAccepts = 5 * time.Millisecond // a listener that is to close goes on accepting for so long
-	sweepMs     = 500                  // how often idle connections are looked for
+	mostOpen   = 32        // open requests on a connection, by the protocol
+	mostUnread = 16 << 10  // bytes of one command; the protocol's largest takes some 2.5 KiB
+	mostUnsent = 512 << 10 // bytes of answers that wait for a slow reader; its connection ends then
+	sweepMs    = 500       // how often idle connections are looked for
 )
 
 // Front accepts routers.
@@ -37,9 +35,8 @@
 	core  *core.Core
 	clock *clock.Clock
 	log   zerolog.Logger
-	ln    *net.TCPListener
+	ln    *accept.Listener
 	most  int // connections
-	done  chan struct{}
 
 	mu       sync.Mutex
 	conns    map[*conn]bool
@@ -49,38 +46,20 @@
 
 // Listen opens the listening socket; Serve has to be called next.
 func Listen(address string, most int, c *core.Core, clk *clock.Clock, log zerolog.Logger) (*Front, error) {
-	ln, err := net.Listen("tcp", address)
+	ln, err := accept.Listen(address, log)
 	if err != nil {
 		return nil, err
 	}
-	return &Front{core: c, clock: clk, log: log, ln: ln.(*net.TCPListener), most: most, done: make(chan struct{}),
-		conns: map[*conn]bool{}}, nil
+	return &Front{core: c, clock: clk, log: log, ln: ln, most: most, conns: map[*conn]bool{}}, nil
 }
 
 // Addr is where the front listens.
 func (f *Front) Addr() net.Addr { return f.ln.Addr() }
 
-// Serve accepts connections until the listener is shut.
+// Serve accepts connections until the front is shut.
 func (f *Front) Serve() {
-	defer close(f.done)
 	f.clock.After(sweepMs, f.sweep)
-	for {
-		nc, err := f.ln.Accept()
-		if err != nil {
-			if errors.Is(err, net.ErrClosed) || isTimeout(err) {
-				return
-			}
-			f.log.Warn().Err(err).Msg("accept") // out of descriptors, most likely: some will be freed
-			time.Sleep(acceptPause)
-			continue
-		}
-		f.welcome(nc)
-	}
-}
-
-func isTimeout(err error) bool {
-	var ne net.Error
-	return errors.As(err, &ne) && ne.Timeout()
+	f.ln.Serve(f.welcome)
 }
 
 func (f *Front) welcome(nc net.Conn) {
@@ -112,11 +91,7 @@
 }
 
 // Shut closes the listener once its queue is empty.
-func (f *Front) Shut() {
-	f.ln.SetDeadline(time.Now().Add(lastAccepts))
-	<-f.done
-	f.ln.Close()
-}
+func (f *Front) Shut() { f.ln.Shut() }
 
 // Flushed tells that all answers are written.
 func (f *Front) Flushed() bool {
--- /dev/null
+++ b/internal/net/stories_test.go
@@ -0,0 +1,249 @@
+package net_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"puffinsaddle/internal/clock"
+	"puffinsaddle/internal/net/vault"
+	"puffinsaddle/policy"
+)
+
+const odd = "any \x00\r\n$5\xff bytes"
+
+func id(n int) string { return fmt.Sprintf("%016x", n) }
+
+// A calm hour: health before the executor is up, answers in any order, every byte as it came, a call below.
+func TestServedWithCallsInAnyOrder(t *testing.T) {
+	below := newVault(t, func(w http.ResponseWriter, r *http.Request) {
+		b, _ := io.ReadAll(r.Body)
+		fmt.Fprintf(w, "%s/%s", r.Header.Get("X-Ticket"), b)
+	})
+	x := newExecutor(t)
+	h := withExecutor(t, x, below)
+	p := h.router()
+	p.send("HEALTH", "1", "deep=1")
+	p.want("1", "healthy")
+	x.welcome(0)
+	x.pass()
+	p.req(2, 2, "book-delivery", "", odd)
+	if c := x.want("EXEC", id(2), "book-delivery"); string(c.body) != odd {
+		t.Errorf("the executor got %q", c.body)
+	}
+	p.req(3, 3, "tank-level", "", "")
+	x.want("EXEC", id(3), "tank-level", "0")
+	x.notice("CALLOUT", id(3), "q"+odd)
+	if c := x.want("RETURN", id(3)); string(c.body) != id(3)+"/q"+odd {
+		t.Errorf("the run got %q", c.body)
+	}
+	x.notice("EXIT", id(3)+" success 12.5", "r"+odd)
+	p.want("3", "done", "", "r"+odd)
+	x.notice("EXIT", id(2)+" failure 1", "")
+	p.want("2", "error")
+	p.req(4, 4, "no-such-class", "", "")
+	p.want("4", "later")
+}
+
+// The link breaks: what had no notice is sent again, but only once the fence shows that it did not arrive, and
+// a notice that comes twice counts once.
+func TestLinkBreaksWithCommandsOfUnknownFate(t *testing.T) {
+	x := newExecutor(t)
+	h := withExecutor(t, x, "127.0.0.1:1")
+	x.welcome(0)
+	x.pass()
+	p := h.router()
+	p.req(1, 1, "book-delivery", "", "a")
+	x.want("EXEC", id(1))
+	p.req(2, 2, "book-delivery", "", "b")
+	x.want("EXEC", id(2))
+	p.req(3, 3, "book-delivery", "", "c")
+	x.want("EXEC", id(3))
+	x.notice("EXIT", id(1)+" success 1", "A")
+	p.want("1", "done", "", "A")
+	x.cut()
+	x.welcome(1)
+	x.say("EXIT 1 %s success 1 1\r\nA", id(1)) // again
+	x.notice("EXIT", id(2)+" success 1", "B")  // it had ended while there was no link
+	p.want("2", "done", "", "B")
+	x.pass()
+	if c := x.want("EXEC", id(3)); string(c.body) != "c" {
+		t.Errorf("sent again with body %q", c.body)
+	}
+	x.notice("EXIT", id(3)+" success 1", "C")
+	p.want("3", "done", "", "C")
+}
+
+// The due time passes while the work goes on: the answer does not wait for it, nor does the work's end bring
+// a second one.
+func TestOverdueIsAnsweredBeforeTheRunEnds(t *testing.T) {
+	x := newExecutor(t)
+	h := withExecutor(t, x, "127.0.0.1:1")
+	x.welcome(0)
+	x.pass()
+	p := h.router()
+	p.req(1, 1, "book-delivery", ",wait=1000", "a")
+	x.want("EXEC", id(1))
+	p.want("1", "error")
+	x.notice("EXIT", id(1)+" interrupted 1005", "")
+	p.req(2, 2, "book-delivery", "", "b")
+	x.want("EXEC", id(2))
+	x.notice("EXIT", id(2)+" success 1", "B")
+	p.want("2", "done", "", "B")
+	p.req(3, 3, "book-delivery", fmt.Sprintf(",at=%d,wait=5", time.Now().UnixMilli()-1000), "late already")
+	p.want("3", "later")
+}
+
+// An id that came before is not run again, whether its first try is open or over.
+func TestOneEffectForOneID(t *testing.T) {
+	x := newExecutor(t)
+	h := withExecutor(t, x, "127.0.0.1:1")
+	x.welcome(0)
+	x.pass()
+	p := h.router()
+	p.req(1, 7, "book-delivery", "", "a")
+	x.want("EXEC", id(7))
+	p.req(2, 7, "book-delivery", "", "a")
+	p.want("2", "error")
+	x.notice("EXIT", id(7)+" success 1", "A")
+	p.want("1", "done", "", "A")
+	p.req(3, 7, "book-delivery", "", "a")
+	p.want("3", "error")
+}
+
+// Malformed input ends its own connection and no other. redcon's parser panics on the second of these.
+func TestMalformedInputEndsItsOwnConnection(t *testing.T) {
+	x := newExecutor(t)
+	h := withExecutor(t, x, "127.0.0.1:1")
+	x.welcome(0)
+	x.pass()
+	good := h.router()
+	for _, bad := range []string{"*1\r\n$x\r\n", "*1\r\n$9223372036854775807\r\n+", "*2\r\n$3\r\nREQ\r\n$1\r\n0\r\n",
+		"*2\r\n$4\r\nWHAT\r\n$1\r\n1\r\n", "*3\r\n$3\r\nREQ\r\n$1\r\n1\r\n$1\r\nx\r\n", "*2\r\n$9999999\r\n" + strings.Repeat("x", 40<<10)} {
+		p := h.router()
+		p.conn.Write([]byte(bad))
+		if n, err := io.Copy(io.Discard, p.r); n > 0 {
+			t.Errorf("%.30q was answered with %d bytes, %v", bad, n, err)
+		}
+	}
+	good.req(1, 1, "book-delivery", "", "a")
+	x.want("EXEC", id(1))
+	x.notice("EXIT", id(1)+" success 1", "A")
+	good.want("1", "done", "", "A")
+}
+
+// A router that reads none of its answers is cut off; the others are served all the while.
+func TestSlowReaderStallsNobody(t *testing.T) {
+	x := newExecutor(t)
+	h := withExecutor(t, x, "127.0.0.1:1")
+	x.welcome(0)
+	x.pass()
+	slow, good := h.router(), h.router()
+	slow.conn.(*net.TCPConn).SetReadBuffer(4096)
+	cut := make(chan struct{})
+	go func() {
+		defer close(cut)
+		for i := 1; ; i++ { // ends when the server closes the connection
+			if _, err := slow.conn.Write(bytes.Repeat([]byte("*2\r\n$6\r\nHEALTH\r\n$1\r\n5\r\n"), 500)); err != nil {
+				return
+			}
+		}
+	}()
+	good.req(1, 1, "book-delivery", "", "a")
+	x.want("EXEC", id(1))
+	x.notice("EXIT", id(1)+" success 1", "A")
+	good.want("1", "done", "", "A")
+	<-cut
+}
+
+// A caller that gives up while its run stands at a call: the call is given up by closing its connection.
+func TestGivingUpClosesTheCall(t *testing.T) {
+	begun, ended := make(chan struct{}), make(chan struct{})
+	below := newVault(t, func(w http.ResponseWriter, r *http.Request) {
+		io.ReadAll(r.Body)
+		close(begun)
+		<-r.Context().Done()
+		close(ended)
+	})
+	x := newExecutor(t)
+	h := withExecutor(t, x, below)
+	x.welcome(0)
+	x.pass()
+	p := h.router()
+	p.req(1, 1, "tank-level", "", "a")
+	x.want("EXEC", id(1))
+	x.notice("CALLOUT", id(1), "q")
+	<-begun
+	p.send("ABORT", "1")
+	<-ended
+	x.notice("EXIT", id(1)+" interrupted 5", "")
+	p.req(2, 2, "book-delivery", "", "b")
+	x.want("EXEC", id(2))
+}
+
+// What the vault may do, and what each proves.
+func TestVaultOutcomes(t *testing.T) {
+	reply := func(status int, unseen string) http.HandlerFunc {
+		return func(w http.ResponseWriter, r *http.Request) {
+			if unseen != "" {
+				w.Header().Set("X-Refused-Unseen", unseen)
+			}
+			w.WriteHeader(status)
+			io.WriteString(w, "body")
+		}
+	}
+	hang := func(w http.ResponseWriter, r *http.Request) { io.ReadAll(r.Body); <-r.Context().Done() }
+	broken := func(w http.ResponseWriter, r *http.Request) { panic(http.ErrAbortHandler) }
+	for _, c := range []struct {
+		name   string
+		do     http.HandlerFunc
+		maxMs  float64
+		want   policy.Outcome
+		result string
+	}{
+		{"ok", reply(200, ""), 1e6, policy.OK, "body"}, {"full", reply(503, "1"), 1e6, policy.Full, ""},
+		{"a 503 that proves nothing", reply(503, ""), 1e6, policy.Failed, ""}, {"moot", reply(409, "1"), 1e6, policy.Moot, ""},
+		{"failed", reply(500, ""), 1e6, policy.Failed, ""}, {"overdue", reply(504, ""), 1e6, policy.TimedOut, ""},
+		{"own limit", hang, 20, policy.TimedOut, ""}, {"broken", broken, 1e6, policy.CutOff, ""},
+	} {
+		got, body := vault.New(newVault(t, c.do), clock.System()).Call(t.Context(), id(1), c.maxMs, []byte("x"))
+		if got != c.want || string(body) != c.result {
+			t.Errorf("%s: %v %q, want %v %q", c.name, got, body, c.want, c.result)
+		}
+	}
+	if got, _ := vault.New("127.0.0.1:1", clock.System()).Call(context.Background(), id(1), 1e6, nil); got != policy.Unreached {
+		t.Errorf("refused: %v", got)
+	}
+}
+
+// A connection that the vault closed while it was idle is not used again, since a call cut off on it would
+// prove nothing.
+func TestVaultClosesAnIdleConnection(t *testing.T) {
+	calls, closed := 0, make(chan struct{}, 5)
+	at := newVault(t, func(w http.ResponseWriter, r *http.Request) {
+		calls++
+		io.ReadAll(r.Body)
+		hj, _, _ := w.(http.Hijacker).Hijack()
+		io.WriteString(hj, "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\ny") // says nothing of closing
+		hj.(*net.TCPConn).CloseWrite()
+		closed <- struct{}{}
+		io.Copy(io.Discard, hj) // returns once the client has closed too
+		hj.Close()
+	})
+	c := vault.New(at, clock.System())
+	for i := range 5 {
+		if got, _ := c.Call(t.Context(), id(i), 1e6, []byte("x")); got != policy.OK {
+			t.Fatalf("call %d: %v", i, got)
+		}
+		<-closed
+	}
+	if calls != 5 {
+		t.Errorf("%d calls arrived, want 5", calls)
+	}
+}
--- /dev/null
+++ b/internal/net/uwsgi/front.go
@@ -0,0 +1,249 @@
+package uwsgi
+
+import (
+	"crypto/rand"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"net"
+	"net/http"
+	"path"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"puffinsaddle/internal/clock"
+	"puffinsaddle/internal/config"
+	"puffinsaddle/internal/core"
+	"puffinsaddle/internal/net/accept"
+	"puffinsaddle/internal/net/pool"
+)
+
+const (
+	lingerFor  = 200 * time.Millisecond // an answer given before all was read gets so long to be taken
+	lingerMost = 1 << 20
+	writeFor   = 2 * time.Second // a caller that does not read its answer holds nothing for longer
+	midRank    = 0.5
+)
+
+// Front takes requests from gateways, one on each connection.
+type Front struct {
+	set   config.UWSGI
+	core  *core.Core
+	clock *clock.Clock
+	log   zerolog.Logger
+	ln    *accept.Listener
+
+	mu      sync.Mutex
+	conns   map[net.Conn]bool // true while the request is being read
+	shutAll bool
+}
+
+// Listen opens the listening socket; Serve has to be called next.
+func Listen(set config.UWSGI, c *core.Core, clk *clock.Clock, log zerolog.Logger) (*Front, error) {
+	ln, err := accept.Listen(set.Listen, log)
+	if err != nil {
+		return nil, err
+	}
+	return &Front{set: set, core: c, clock: clk, log: log, ln: ln, conns: map[net.Conn]bool{}}, nil
+}
+
+// Addr is where the front listens.
+func (f *Front) Addr() net.Addr { return f.ln.Addr() }
+
+// Serve takes requests until the front is shut.
+func (f *Front) Serve() {
+	f.ln.Serve(func(conn net.Conn) {
+		f.mu.Lock()
+		full := len(f.conns) >= f.set.Conns
+		f.conns[conn] = true
+		f.mu.Unlock()
+		go func() {
+			defer func() {
+				f.mu.Lock()
+				delete(f.conns, conn)
+				f.mu.Unlock()
+				conn.Close()
+			}()
+			if full {
+				respond(conn, http.StatusServiceUnavailable, 1, nil)
+				linger(conn)
+				return
+			}
+			f.serve(conn)
+		}()
+	})
+}
+
+// Drain does nothing: each connection carries one request, and the module decides on those that still come.
+func (f *Front) Drain() {}
+
+// Shut closes the listener, and ends the reading of what is not yet a whole request: its caller hears 408.
+func (f *Front) Shut() {
+	f.ln.Shut()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.shutAll = true
+	for conn, reading := range f.conns {
+		if reading {
+			conn.SetReadDeadline(time.Now())
+		}
+	}
+}
+
+// Flushed tells that all answers are written.
+func (f *Front) Flushed() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.conns) == 0
+}
+
+// Close ends all connections.
+func (f *Front) Close() {
+	f.ln.Close()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for conn := range f.conns {
+		conn.Close()
+	}
+}
+
+// serve reads one request and gives it one answer, whatever it looks like.
+func (f *Front) serve(conn net.Conn) {
+	reached := f.clock.Now()
+	f.mu.Lock()
+	limit := time.Now()
+	if !f.shutAll {
+		limit = limit.Add(clock.Duration(f.set.ReadMs))
+	}
+	conn.SetReadDeadline(limit)
+	f.mu.Unlock()
+	p, err := readPacket(conn, f.set.MaxBody)
+	if err == io.EOF {
+		return // nothing was sent
+	}
+	var q *core.Request
+	if err == nil {
+		if q, err = f.request(p, reached); err != nil {
+			pool.Put(p.body)
+		}
+	}
+	if err != nil {
+		status := http.StatusBadRequest
+		var ne net.Error
+		if errors.As(err, &ne) && ne.Timeout() {
+			status = http.StatusRequestTimeout
+		}
+		f.log.Debug().Err(err).Int("status", status).Msg("no uwsgi request")
+		respond(conn, status, 0, nil)
+		linger(conn)
+		return
+	}
+
+	f.mu.Lock()
+	f.conns[conn] = false
+	conn.SetReadDeadline(time.Time{})
+	f.mu.Unlock()
+	answered := make(chan struct{})
+	life := f.core.Open(q, func(o core.Outcome) {
+		status, after := status(o)
+		respond(conn, status, after, o.Result)
+		close(answered)
+	})
+	// The caller's close ends the waiting; what it sends besides is none of the request.
+	left := make(chan struct{})
+	go func() {
+		io.Copy(io.Discard, conn)
+		close(left)
+	}()
+	select {
+	case <-answered:
+	case <-left:
+		life.Gone()
+		return
+	}
+	linger(conn)
+}
+
+// request reads the variables of a packet.
+func (f *Front) request(p *packet, reached float64) (*core.Request, error) {
+	v := p.vars
+	q := &core.Request{ID: v[varID], Class: v[varClass], At: reached, Retry: v[varRetry] == "1", KB: f.set.KB,
+		Rank: midRank, Key: v[varKey], Body: p.body}
+	if q.Class == "" {
+		at := v["PATH_INFO"]
+		if at == "" {
+			at, _, _ = strings.Cut(v["REQUEST_URI"], "?")
+		}
+		q.Class = path.Base(at)
+	}
+	if q.ID == "" {
+		var b [8]byte
+		rand.Read(b[:])
+		q.ID = hex.EncodeToString(b[:])
+	} else if b, err := hex.DecodeString(q.ID); err != nil || len(b) != 8 {
+		return nil, fmt.Errorf("%w: %s is not 16 hex digits", errMalformed, varID)
+	}
+	var from float64
+	for _, n := range []struct {
+		name string
+		to   *float64
+	}{{varAt, &q.At}, {varWait, &q.Wait}, {varFrom, &from}, {varKB, &q.KB}, {varRank, &q.Rank}} {
+		s := v[n.name]
+		if s == "" {
+			continue
+		}
+		x, err := strconv.ParseFloat(s, 64)
+		if err != nil || math.IsNaN(x) || math.IsInf(x, 0) || x < 0 {
+			return nil, fmt.Errorf("%w: %s is not a number of 0 or more", errMalformed, n.name)
+		}
+		*n.to = x
+	}
+	q.From = int64(from)
+	q.At = min(q.At, reached) // a gateway whose clock is ahead must not lengthen the wait
+	return q, nil
+}
+
+// status maps an outcome; after is in seconds.
+func status(o core.Outcome) (status, after int) {
+	switch {
+	case o.Verdict == core.Served:
+		return http.StatusOK, 0
+	case o.Verdict == core.Refused && o.Unknown:
+		return http.StatusNotFound, 0
+	case o.Verdict == core.Refused:
+		return http.StatusServiceUnavailable, max(int(math.Ceil(o.After/1000)), 1)
+	case o.Verdict == core.Overdue:
+		return http.StatusGatewayTimeout, 0
+	}
+	return http.StatusBadGateway, 0
+}
+
+// respond writes the one answer.
+func respond(conn net.Conn, status, after int, body []byte) {
+	b := pool.Get(pool.Size)[:0]
+	b = fmt.Appendf(b, "HTTP/1.1 %d %s\r\nContent-Length: %d\r\n", status, http.StatusText(status), len(body))
+	if after > 0 {
+		b = fmt.Appendf(b, "Retry-After: %d\r\n", after)
+	}
+	b = append(b, "Content-Type: application/octet-stream\r\nConnection: close\r\n\r\n"...)
+	b = append(b, body...)
+	conn.SetWriteDeadline(time.Now().Add(writeFor))
+	conn.Write(b)
+	pool.Put(b)
+}
+
+// linger ends a connection so that the caller can read the answer: closing it with bytes unread would reset
+// it, and the answer with it.
+func linger(conn net.Conn) {
+	if t, ok := conn.(*net.TCPConn); ok {
+		t.CloseWrite()
+	}
+	conn.SetReadDeadline(time.Now().Add(lingerFor))
+	io.Copy(io.Discard, io.LimitReader(conn, lingerMost))
+}
--- /dev/null
+++ b/internal/net/uwsgi/runner.go
@@ -0,0 +1,122 @@
+package uwsgi
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"net"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+
+	"github.com/rs/zerolog"
+
+	"puffinsaddle/internal/clock"
+	"puffinsaddle/internal/config"
+	"puffinsaddle/internal/core"
+	"puffinsaddle/internal/net/pool"
+	"puffinsaddle/policy"
+)
+
+// Runner runs requests by sending them to uwsgi servers.
+type Runner struct {
+	servers    []string
+	mostResult int
+	clock      *clock.Clock
+	log        zerolog.Logger
+	dialer     net.Dialer
+	next       atomic.Uint32
+}
+
+// NewRunner makes a runner behind the core.
+func NewRunner(set config.UWSGI, clk *clock.Clock, log zerolog.Logger) *Runner {
+	return &Runner{servers: set.Servers, mostResult: set.MaxResult, clock: clk, log: log}
+}
+
+// Start sends the request on, and tells the end.
+func (r *Runner) Start(a *core.Attempt) {
+	go func() {
+		begun := r.clock.Now()
+		outcome, result, err := r.run(a)
+		if err != nil {
+			r.log.Warn().Err(err).Str("id", a.Request.ID).Msg("run failed")
+		}
+		a.Notify(core.Notice{Ended: true, Outcome: outcome, Took: r.clock.Now() - begun, Body: result})
+	}()
+}
+
+// run makes one attempt. Another server is tried only while no byte can have left for the last one: after
+// that the request may have had its effect.
+func (r *Runner) run(a *core.Attempt) (policy.Outcome, []byte, error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	timer := r.clock.After(a.Due-r.clock.Now(), cancel)
+	defer timer.Stop()
+
+	q := a.Request
+	head, err := appendPacket(nil, map[string]string{
+		"REQUEST_METHOD": "POST", "PATH_INFO": "/" + q.Class, "REQUEST_URI": "/" + q.Class, "QUERY_STRING": "",
+		"SERVER_PROTOCOL": "HTTP/1.1", "CONTENT_LENGTH": strconv.Itoa(len(q.Body)),
+		varClass: q.Class, varID: q.ID, varKey: q.Key,
+		varWait: strconv.FormatInt(int64(math.Max(a.Due-r.clock.Now(), 1)), 10),
+	})
+	if err != nil {
+		return policy.Moot, nil, err
+	}
+	var conn net.Conn
+	first := r.next.Add(1)
+	for i := range r.servers {
+		at := r.servers[(int(first)+i)%len(r.servers)]
+		if conn, err = r.dialer.DialContext(ctx, "tcp", at); err == nil {
+			break
+		}
+	}
+	if err != nil {
+		return policy.Moot, nil, err
+	}
+	defer conn.Close()
+	stop := context.AfterFunc(ctx, func() { conn.Close() })
+	defer stop()
+	if _, err := (&net.Buffers{head, q.Body}).WriteTo(conn); err != nil {
+		return policy.Failed, nil, err
+	}
+	return r.response(conn)
+}
+
+// response reads the HTTP response of a server.
+func (r *Runner) response(conn net.Conn) (policy.Outcome, []byte, error) {
+	resp, err := http.ReadResponse(bufio.NewReaderSize(conn, 4096), nil)
+	if err != nil {
+		return policy.Failed, nil, err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return policy.Failed, nil, fmt.Errorf("the server answered %s", resp.Status)
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, int64(r.mostResult)+1))
+	if err == nil && len(body) > r.mostResult {
+		err = errors.New("the result is too long")
+	}
+	if err != nil {
+		return policy.Failed, nil, err // cut short: not the result that the run made
+	}
+	return policy.OK, pool.Copy(body), nil
+}
+
+// Return is for runs that make calls; these make none that we see.
+func (r *Runner) Return(*core.Attempt, []byte) {}
+
+// Skip is for runs that make calls.
+func (r *Runner) Skip(*core.Attempt, uint64) {}
+
+// Drop lets the run go on to its end or its due time: to break it off would not undo it.
+func (r *Runner) Drop(*core.Attempt) {}
+
+// Meter tells nothing: a uwsgi server has no gauges, and the module then counts its own starts.
+func (r *Runner) Meter(func([]float64)) {}
+
+// Diagnose can't tell.
+func (r *Runner) Diagnose(func(bool)) bool { return false }
