Add the replicated store and the inventory; record an effect before its run

Both off on the platform.

Seen: the core's freshness test hung about once in 30 runs under -race. The life read the clock for a run's start after handing it to the runner, so a late goroutine made a result look fresher than it was (life.go, begun).

--- a/cmd/puffinsaddle/main.go
+++ b/cmd/puffinsaddle/main.go
@@ -3,12 +3,15 @@
 
 import (
 	"context"
+	"encoding/json"
+	"errors"
 	"fmt"
 	"math"
 	"os"
 	"os/signal"
 	"runtime"
 	"runtime/debug"
+	"slices"
 	"syscall"
 
 	"github.com/rs/zerolog"
@@ -16,15 +19,18 @@
 	"puffinsaddle/internal/clock"
 	"puffinsaddle/internal/config"
 	"puffinsaddle/internal/core"
+	"puffinsaddle/internal/inventory"
 	"puffinsaddle/internal/net/executor"
 	"puffinsaddle/internal/net/members"
 	"puffinsaddle/internal/net/respfront"
 	"puffinsaddle/internal/net/uwsgi"
 	"puffinsaddle/internal/net/vault"
+	"puffinsaddle/internal/store"
 )
 
 const (
-	spareSockets = 64  // descriptors for the executor, the vault, logs and the rest
+	spareSockets = 64 // descriptors for the executor, the vault, logs and the rest
+	drainMark    = "drain/"
 	memoryPart   = 0.7 // of the limit, from which the collector works harder; stacks and sockets need the rest
 )
 
@@ -52,6 +58,20 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	clk := clock.System()
+	servers, hosts, err := inventoried(cfg.Operator)
+	if err != nil {
+		return err
+	}
+	state, err := openStore(ctx, cfg, hosts, log)
+	if err != nil {
+		return err
+	}
+	var ledger core.Ledger // nil: effects are remembered in memory
+	if state != nil {
+		defer state.Close()
+		ledger = state
+	}
+
 	var c *core.Core
 	var runner core.Runner
 	var link *executor.Link
@@ -59,10 +79,15 @@
 		link = executor.New(cfg.Executor, log, func(cold bool, ageMs float64) { c.Up(cold) })
 		runner = link
 	}
-	if len(cfg.Operator.UWSGI.Servers) > 0 { // the operator's choice of who does the work comes first
-		runner, link = uwsgi.NewRunner(cfg.Operator.UWSGI, clk, log), nil
+	if len(servers) > 0 { // the operator's choice of who does the work comes first
+		set := cfg.Operator.UWSGI
+		set.Servers = servers
+		runner, link = uwsgi.NewRunner(set, clk, log), nil
+	}
+	if runner == nil {
+		return errors.New("nobody does the work: no executor is named, and no uwsgi server is in the inventory's group")
 	}
-	c = core.New(clk, log, cfg.Settings, cfg.Seed, runner, vault.New(cfg.Vault, clk), nil)
+	c = core.New(clk, log, cfg.Settings, cfg.Seed, runner, vault.New(cfg.Vault, clk), ledger)
 	fronts, err := listen(cfg, c, clk, log)
 	if err != nil {
 		return err
@@ -81,6 +106,9 @@
 	<-notice
 	log.Info().Float64("stop_ms", cfg.StopMs).Msg("draining")
 	reporter.Leave()
+	if state != nil {
+		go func() { note(log, state.Set(drainMark+cfg.Name, []byte("draining"))) }() // the drain waits for no quorum
+	}
 	c.Leave(cfg.StopMs, fronts...)
 	return nil
 }
@@ -108,3 +136,56 @@
 	}
 	return fronts, nil
 }
+
+// inventoried lists the uwsgi servers that the operator's file and its inventory name, and the inventory.
+func inventoried(o config.Operator) (servers []string, hosts *inventory.Inventory, err error) {
+	servers = slices.Clone(o.UWSGI.Servers)
+	if o.Inventory.Path == "" {
+		return servers, nil, nil
+	}
+	if hosts, err = inventory.Load(o.Inventory.Path); err != nil {
+		return nil, nil, err
+	}
+	if o.Inventory.Group != "" {
+		for _, h := range hosts.Group(o.Inventory.Group) {
+			servers = append(servers, h.Endpoint(o.Inventory.Port))
+		}
+	}
+	return servers, hosts, nil
+}
+
+// openStore opens the replicated store where the operator's file has one, and writes to it what this server
+// was set up with as soon as there is a quorum. Serving does not wait for that.
+func openStore(ctx context.Context, cfg *config.Config, hosts *inventory.Inventory, log zerolog.Logger) (*store.Store, error) {
+	set := cfg.Operator.Store
+	if set.Listen == "" {
+		return nil, nil
+	}
+	if set.ID == "" {
+		set.ID = cfg.Name
+	}
+	s, err := store.Open(store.Options{ID: set.ID, Listen: set.Listen, Dir: set.Dir, Peers: set.Peers, Log: log.Level(zerolog.WarnLevel)})
+	if err != nil {
+		return nil, err
+	}
+	go func() {
+		if err := s.Ready(ctx); err != nil {
+			return // stopped before there was a leader
+		}
+		note(log, s.Set("config/"+cfg.Name, cfg.Operator.Text))
+		note(log, s.Delete(drainMark+cfg.Name))
+		if hosts != nil {
+			text, err := json.Marshal(hosts)
+			note(log, err)
+			note(log, s.Set("inventory", text))
+		}
+	}()
+	return s, nil
+}
+
+// note logs a write to the store that failed; serving goes on without it.
+func note(log zerolog.Logger, err error) {
+	if err != nil {
+		log.Warn().Err(err).Msg("store")
+	}
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -122,7 +122,7 @@
 	addresses := []struct{ key, at string }{{"listen", c.Listen}, {"members", c.Members}, {"vault", c.Vault}, {"executor", c.Executor}}
 	for _, a := range addresses {
 		if a.at == "" {
-			if a.key == "listen" && c.Operator.UWSGI.Listen == "" || a.key == "executor" && len(c.Operator.UWSGI.Servers) == 0 {
+			if a.key == "listen" && c.Operator.UWSGI.Listen == "" || a.key == "executor" && len(c.Operator.UWSGI.Servers) == 0 && c.Operator.Inventory.Group == "" {
 				return fmt.Errorf("config: %q is missing", a.key)
 			}
 			continue
--- /dev/null
+++ b/internal/config/config_test.go
@@ -0,0 +1,75 @@
+package config
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+const good = `{"name":"n3","listen":"127.0.0.1:5050","executor":"127.0.0.2:7300","members":"127.0.0.3:8761",
+"vault":"127.0.0.4:7700","seed":"8c1f30d27a5be964","stop_ms":3200,"some new key":[1],"limits":{"cores":1.0,"memory_mb":192,"sockets":1024},
+"settings":{"new too":1,"classes":[{"name":"book","aim":1700000000,"deadline":5000000000,"worth":4.0,"idempotency":"unsafe"}],
+"extra":{"nCores":6,"heapKb":10998.0,"runMemFactor":4.0,"say":"credit","freshFor":200000000},"limits":{},"rules":{"fallMultiple":8.0},"tick":4000000}}`
+
+func load(t *testing.T, text, operator string, env map[string]string) (*Config, error) {
+	t.Helper()
+	vars := map[string]string{"RELAY_CONFIG": filepath.Join(t.TempDir(), "config.json")}
+	os.WriteFile(vars["RELAY_CONFIG"], []byte(text), 0o600)
+	if operator != "" {
+		vars["RELAY_OPERATOR"] = filepath.Join(t.TempDir(), "operator.yaml")
+		os.WriteFile(vars["RELAY_OPERATOR"], []byte(operator), 0o600)
+	}
+	for k, v := range env {
+		vars[k] = v
+	}
+	return Load(func(k string) string { return vars[k] })
+}
+
+func TestLoad(t *testing.T) {
+	c, err := load(t, good, "", map[string]string{"RELAY_NAME": "n9"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if c.Name != "n9" || c.Seed != 0x8c1f30d27a5be964 || c.StopMs != 3200 || c.Sockets != 1024 || c.Settings.Cores != 6 {
+		t.Errorf("read %+v", c)
+	}
+	if c.Operator.UWSGI.Listen != "" || c.Operator.Store.Listen != "" || c.Operator.Inventory.Path != "" {
+		t.Errorf("something of the operator's is on by default: %+v", c.Operator)
+	}
+	c, err = load(t, good, "uwsgi:\n  listen: 127.0.0.1:3030\n  read_ms: 500\nstore: {listen: '127.0.0.1:0', dir: /tmp/x}\n", nil)
+	if err != nil || c.Operator.UWSGI.ReadMs != 500 || c.Operator.UWSGI.MaxBody != 64<<10 || c.Operator.Store.Dir != "/tmp/x" {
+		t.Errorf("read %+v, %v", c, err)
+	}
+}
+
+func TestFaultyKeysAreNamed(t *testing.T) {
+	for _, c := range []struct{ old, new, operator, want string }{
+		{`"name":"n3",`, "", "", `"name" is missing`},
+		{`"listen":"127.0.0.1:5050",`, "", "", `"listen" is missing`},
+		{`"executor":"127.0.0.2:7300"`, `"executor":"x"`, "", `"executor" is not an address`},
+		{`"executor":"127.0.0.2:7300",`, "", "", `"executor" is missing`},
+		{`"seed":"8c`, `"seed":"zz`, "", `"seed" is not a hex`},
+		{`"stop_ms":3200`, `"stop_ms":"soon"`, "", `"stop_ms" is not a number`},
+		{`"memory_mb":192`, `"memory_mb":-1`, "", `"limits.memory_mb" must be`},
+		{`"sockets":1024`, `"sockets":3`, "", `"limits.sockets" must be`},
+		{`"aim":1700000000,`, "", "", `"aim" is missing`},
+		{`"idempotency":"unsafe"`, `"idempotency":"maybe"`, "", `"idempotency" is not known`},
+		{`"nCores":6`, `"nCores":0`, "", `Cores must be`},
+		{good, "{", "", "malformed JSON"},
+		{"", "", "uwsgi: {lisen: x}", "lisen"},
+		{"", "", "uwsgi: {listen: x}", "uwsgi.listen"},
+		{"", "", "uwsgi: {servers: [x]}", "uwsgi.servers[0]"},
+		{"", "", "uwsgi: {kb: -1}", "uwsgi.kb"},
+		{"", "", "store: {listen: ':1'}", "store.dir"},
+		{"", "", "store: {listen: ':1', dir: x, peers: {b: y}}", "store.peers.b"},
+		{"", "", "inventory: {group: g}", "inventory.path"},
+	} {
+		if _, err := load(t, strings.Replace(good, c.old, c.new, 1), c.operator, nil); err == nil || !strings.Contains(err.Error(), c.want) {
+			t.Errorf("%s%s -> %s: %v, want %s", c.operator, c.old, c.new, err, c.want)
+		}
+	}
+	if _, err := Load(func(string) string { return "" }); err == nil || !strings.Contains(err.Error(), "RELAY_CONFIG") {
+		t.Errorf("no environment: %v", err)
+	}
+}
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -12,7 +12,25 @@
 
 // Operator is what an operator's file under deploy/ adds. All of it is off on the platform.
 type Operator struct {
-	UWSGI UWSGI `yaml:"uwsgi"`
+	UWSGI     UWSGI     `yaml:"uwsgi"`
+	Store     Store     `yaml:"store"`
+	Inventory Inventory `yaml:"inventory"`
+	Text      []byte    `yaml:"-"` // the file, as it is kept in the store
+}
+
+// Store sets up the replicated store. Without it nothing is kept and effects are remembered in memory.
+type Store struct {
+	ID     string            `yaml:"id"`     // empty: the program's name
+	Listen string            `yaml:"listen"` // empty: no store
+	Dir    string            `yaml:"dir"`
+	Peers  map[string]string `yaml:"peers"` // id and address of each node, this one included
+}
+
+// Inventory names the hosts of the site.
+type Inventory struct {
+	Path  string `yaml:"path"`  // a .csv, .yml or .yaml file; empty: none
+	Group string `yaml:"group"` // hosts of this group join uwsgi.servers
+	Port  int    `yaml:"port"`  // of hosts that tell none
 }
 
 // UWSGI sets up the second front and the runner that sends requests on to uwsgi servers.
@@ -41,7 +59,7 @@
 
 // ParseOperator reads, checks and completes an operator's file.
 func ParseOperator(text []byte) (Operator, error) {
-	o := Operator{UWSGI: UWSGI{MaxBody: 64 << 10, MaxResult: 1 << 20, ReadMs: 2000, Conns: 128, KB: 24}}
+	o := Operator{Text: text, Inventory: Inventory{Port: 3031}, UWSGI: UWSGI{MaxBody: 64 << 10, MaxResult: 1 << 20, ReadMs: 2000, Conns: 128, KB: 24}}
 	d := yaml.NewDecoder(bytes.NewReader(text))
 	d.KnownFields(true)
 	if err := d.Decode(&o); err != nil && len(bytes.TrimSpace(text)) > 0 {
@@ -58,7 +76,24 @@
 			return o, fmt.Errorf("uwsgi.servers[%d]: %w", i, err)
 		}
 	}
+	if st := o.Store; st.Listen != "" {
+		if _, _, err := net.SplitHostPort(st.Listen); err != nil {
+			return o, fmt.Errorf("store.listen: %w", err)
+		}
+		if st.Dir == "" {
+			return o, errors.New("store.dir is missing")
+		}
+		for id, at := range st.Peers {
+			if _, _, err := net.SplitHostPort(at); err != nil {
+				return o, fmt.Errorf("store.peers.%s: %w", id, err)
+			}
+		}
+	}
 	switch {
+	case o.Inventory.Path == "" && o.Inventory.Group != "":
+		return o, errors.New("inventory.path is missing, and inventory.group is set")
+	case o.Inventory.Port < 1 || o.Inventory.Port > 65535:
+		return o, errors.New("inventory.port must be from 1 to 65535")
 	case u.MaxBody < 0 || u.MaxBody > 16<<20:
 		return o, errors.New("uwsgi.max_body must be from 0 to 16 MiB")
 	case u.MaxResult < 1024 || u.MaxResult > 16<<20:
--- /dev/null
+++ b/internal/core/core_test.go
@@ -0,0 +1,154 @@
+package core
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"puffinsaddle/internal/clock"
+	"puffinsaddle/internal/net/pool"
+	"puffinsaddle/policy"
+)
+
+const begin = 1.7e12 // where the tests' clock stands at first
+
+// hand is a Runner whose runs the test ends by hand.
+type hand struct{ started chan *Attempt }
+
+func (h *hand) Start(a *Attempt)         { h.started <- a }
+func (h *hand) Return(*Attempt, []byte)  {}
+func (h *hand) Skip(*Attempt, uint64)    {}
+func (h *hand) Drop(*Attempt)            {}
+func (h *hand) Meter(func([]float64))    {}
+func (h *hand) Diagnose(func(bool)) bool { return false }
+func (h *hand) Call(context.Context, string, float64, []byte) (policy.Outcome, []byte) {
+	return policy.Unreached, nil
+}
+
+var testSettings = policy.Settings{
+	Classes: []policy.Class{{Name: "read", Aim: 2 * time.Second, Deadline: 5 * time.Second, Worth: 1},
+		{Name: "book", Aim: 2 * time.Second, Deadline: 5 * time.Second, Worth: 4, Safety: policy.Unsafe}},
+	Cores: 8, MemoryKB: 1e6, RunFactor: 4, FallMultiple: 8, FreshFor: 200 * time.Millisecond, PassesDeadline: true,
+	BusyGauge: -1, RunnableGauge: -1, MemoryGauge: -1, ConnGauge: -1,
+}
+
+type rig struct {
+	*Core
+	t       *testing.T
+	clock   *clock.Clock
+	hand    *hand
+	answers chan string
+}
+
+func newRig(t *testing.T, l Ledger) *rig {
+	h := &hand{make(chan *Attempt, 10)}
+	clk := clock.Manual(begin)
+	c := New(clk, zerolog.Nop(), testSettings, 1, h, h, l)
+	c.Up(false)
+	go c.Run()
+	t.Cleanup(c.Stop)
+	return &rig{c, t, clk, h, make(chan string, 10)}
+}
+
+func (r *rig) open(id int, class, key string, at float64) *Life {
+	q := &Request{ID: fmt.Sprint(id), Class: class, At: at, Wait: 3000, KB: 1, Key: key}
+	return r.Open(q, func(o Outcome) { r.answers <- fmt.Sprintf("%d %d %s", id, o.Verdict, o.Result) })
+}
+
+func (r *rig) end(a *Attempt, result string, took float64) {
+	a.Notify(Notice{Ended: true, Outcome: policy.OK, Took: took, Body: pool.Copy([]byte(result))})
+}
+
+func (r *rig) want(answer string) {
+	r.t.Helper()
+	if got := <-r.answers; got != answer {
+		r.t.Errorf("answer %q, want %q", got, answer)
+	}
+}
+
+// A read may have a result by when it came, not by when it was looked at; and by when the result was made.
+func TestFreshnessCountsFromTheArrival(t *testing.T) {
+	r := newRig(t, nil)
+	r.open(1, "read", "k", begin)
+	first := <-r.hand.started
+	r.open(2, "read", "k", begin)
+	r.open(3, "read", "other", begin)
+	other := <-r.hand.started // the second read of k was not started before it
+	r.clock.Set(begin + 100)
+	r.end(first, "A", 100)
+	got := map[string]bool{<-r.answers: true, <-r.answers: true}
+	if !got["1 0 A"] || !got["2 0 A"] {
+		t.Errorf("answers %v", got)
+	}
+	r.clock.Set(begin + 250)
+	r.open(4, "read", "k", begin+240)
+	r.want("4 0 A")
+	r.open(5, "read", "k", begin+301) // came 201 ms after the result was made
+	r.end(<-r.hand.started, "B", 1)
+	r.want("5 0 B")
+	r.clock.Set(begin + 450)
+	r.end(other, "C", 10) // its notice came late: made at 10, so no longer fresh at 440
+	r.want("3 0 C")
+	r.open(6, "read", "other", begin+440)
+	r.end(<-r.hand.started, "D", 1)
+	r.want("6 0 D")
+}
+
+// The module gives up on a request at its due time; its answer waits for no gauge and for no run.
+func TestDueTimeNeedsNoGauges(t *testing.T) {
+	r := newRig(t, nil)
+	r.open(1, "book", "", begin)
+	a := <-r.hand.started
+	for now := begin; now < begin+3000; now += 500 { // the clock's timers wake the module on the way
+		r.clock.Set(now)
+	}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		r.want(fmt.Sprintf("1 %d ", Overdue))
+	}()
+	for late := false; !late; {
+		select {
+		case <-done:
+			late = true
+		default:
+			r.clock.Set(r.clock.Now() + 1)
+		}
+	}
+	for r.Owed() != 0 { // settled right after the answer, while the run still goes on
+		runtime.Gosched()
+	}
+	r.end(a, "late", 3500)
+}
+
+type noQuorum struct{}
+
+func (noQuorum) Begin(string) (bool, error) { return false, errors.New("no quorum") }
+
+// An effect that can't be recorded is not run, and may be tried elsewhere; a read needs no record.
+func TestEffectIsRecordedBeforeItsRun(t *testing.T) {
+	r := newRig(t, noQuorum{})
+	r.open(1, "book", "", begin)
+	r.want(fmt.Sprintf("1 %d ", Refused))
+	r.open(2, "read", "", begin)
+	r.end(<-r.hand.started, "A", 1)
+	r.want("2 0 A")
+	if len(r.hand.started) > 0 {
+		t.Error("the effect was run")
+	}
+}
+
+func TestMemoryLedgerForgetsTheOldest(t *testing.T) {
+	l := newMemoryLedger(2)
+	for i, want := range []bool{true, true, false, true, true} {
+		id := []string{"a", "b", "a", "c", "a"}[i]
+		if got, _ := l.Begin(id); got != want {
+			t.Errorf("begin %d of %s: %v", i, id, got)
+		}
+	}
+}
--- a/internal/core/life.go
+++ b/internal/core/life.go
@@ -77,6 +77,7 @@
 
 	// Held: until the module starts it, shares a result with it or turns it away.
 	var run *Attempt
+	var begun float64
 	for run == nil {
 		switch m := l.box.next().(type) {
 		case policy.Refuse:
@@ -117,13 +118,13 @@
 				return
 			}
 			run = &Attempt{Request: l.req, Due: c.due(l.req), Notify: func(n Notice) { l.box.put(n) }}
+			begun = c.clock.Now() // before the start, so that no result looks fresher than it is
 			c.runner.Start(run)
 		}
 	}
 
 	// Running: until the runner tells its end. A request that was answered or left goes on to that end, and
 	// the module hears it, but makes no more calls.
-	begun := c.clock.Now()
 	var at Notice // the call that the run stands at
 	calls := 0
 	giveUp := func() {}
--- /dev/null
+++ b/internal/inventory/yaml.go
@@ -0,0 +1,210 @@
+package inventory
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+
+	"go.yaml.in/yaml/v3"
+)
+
+// The variables that tell where a host is.
+const (
+	varHost = "ansible_host"
+	varPort = "ansible_port"
+)
+
+// ParseYAML reads groups of hosts: at the top all, and in each group hosts, vars and children. A host may be in
+// several groups. Its own variables come before those of its groups, a group's before those of the groups round
+// it; where two say the same of one host on the same level, the later in the file counts, as Ansible has it.
+func ParseYAML(path string, text []byte) (*Inventory, error) {
+	var doc yaml.Node
+	if err := yaml.Unmarshal(text, &doc); err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	p := &parser{path: path, hosts: map[string]*Host{}, own: map[string]map[string]string{}, lines: map[string]int{}}
+	if len(doc.Content) == 0 {
+		return finish(p.hosts), nil
+	}
+	top, err := p.pairs(doc.Content[0], "the file")
+	if err != nil {
+		return nil, err
+	}
+	for _, g := range top {
+		if err := p.group(g.key, g.value, nil, nil); err != nil {
+			return nil, err
+		}
+	}
+	for name, h := range p.hosts {
+		maps.Copy(h.Vars, p.own[name])
+		if err := p.place(h); err != nil {
+			return nil, fmt.Errorf("%s:%d: host %q: %w", path, p.lines[name], name, err)
+		}
+	}
+	return finish(p.hosts), nil
+}
+
+type parser struct {
+	path  string
+	hosts map[string]*Host
+	own   map[string]map[string]string // variables given at the host itself
+	lines map[string]int
+}
+
+type pair struct {
+	key   *yaml.Node
+	value *yaml.Node
+}
+
+// pairs lists the members of a mapping, which has no key twice.
+func (p *parser) pairs(n *yaml.Node, what string) ([]pair, error) {
+	if n.Kind == yaml.AliasNode {
+		n = n.Alias
+	}
+	if n.Kind == yaml.ScalarNode && n.Tag == "!!null" {
+		return nil, nil
+	}
+	if n.Kind != yaml.MappingNode {
+		return nil, fmt.Errorf("%s:%d: %s must be a mapping", p.path, n.Line, what)
+	}
+	var out []pair
+	seen := map[string]int{}
+	for i := 0; i+1 < len(n.Content); i += 2 {
+		k := n.Content[i]
+		if first, twice := seen[k.Value]; twice {
+			return nil, fmt.Errorf("%s:%d: duplicate %q in %s, first in line %d", p.path, k.Line, k.Value, what, first)
+		}
+		seen[k.Value] = k.Line
+		out = append(out, pair{k, n.Content[i+1]})
+	}
+	return out, nil
+}
+
+// group reads one group; vars are those of the groups round it, whose names are in the way.
+func (p *parser) group(name, n *yaml.Node, way []string, vars map[string]string) error {
+	if slices.Contains(way, name.Value) {
+		return fmt.Errorf("%s:%d: group %q lies within itself", p.path, name.Line, name.Value)
+	}
+	way = append(slices.Clone(way), name.Value)
+	members, err := p.pairs(n, fmt.Sprintf("group %q", name.Value))
+	if err != nil {
+		return err
+	}
+	parts := map[string]*yaml.Node{}
+	for _, m := range members {
+		switch m.key.Value {
+		case "hosts", "vars", "children":
+			parts[m.key.Value] = m.value
+		default:
+			return fmt.Errorf("%s:%d: unknown key %q in group %q", p.path, m.key.Line, m.key.Value, name.Value)
+		}
+	}
+	if v := parts["vars"]; v != nil {
+		own, err := p.vars(v, fmt.Sprintf("the vars of group %q", name.Value))
+		if err != nil {
+			return err
+		}
+		inner := maps.Clone(own)
+		for k, x := range vars {
+			if _, there := own[k]; !there {
+				inner[k] = x
+			}
+		}
+		vars = inner
+	}
+	if h := parts["hosts"]; h != nil {
+		hosts, err := p.pairs(h, fmt.Sprintf("the hosts of group %q", name.Value))
+		if err != nil {
+			return err
+		}
+		for _, m := range hosts {
+			if err := p.host(m, way, vars); err != nil {
+				return err
+			}
+		}
+	}
+	if c := parts["children"]; c != nil {
+		children, err := p.pairs(c, fmt.Sprintf("the children of group %q", name.Value))
+		if err != nil {
+			return err
+		}
+		for _, m := range children {
+			if err := p.group(m.key, m.value, way, vars); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func (p *parser) host(m pair, way []string, vars map[string]string) error {
+	name := m.key.Value
+	own, err := p.vars(m.value, fmt.Sprintf("host %q", name))
+	if err != nil {
+		return err
+	}
+	h := p.hosts[name]
+	if h == nil {
+		h = &Host{Name: name, Vars: map[string]string{}}
+		p.hosts[name], p.own[name], p.lines[name] = h, map[string]string{}, m.key.Line
+	}
+	// A host may be listed in many groups, but two addresses are two hosts of one name.
+	for _, k := range []string{varHost, varPort} {
+		if a, b := p.own[name][k], own[k]; a != "" && b != "" && a != b {
+			return fmt.Errorf("%s:%d: duplicate host %q: %s is %q here and %q before, in line %d", p.path, m.key.Line, name, k, b, a, p.lines[name])
+		}
+	}
+	maps.Copy(p.own[name], own)
+	maps.Copy(h.Vars, vars)
+	for _, g := range way {
+		if g != "all" && !slices.Contains(h.Groups, g) {
+			h.Groups = append(h.Groups, g)
+		}
+	}
+	return nil
+}
+
+// vars reads variables; what is no plain value is kept as YAML text.
+func (p *parser) vars(n *yaml.Node, what string) (map[string]string, error) {
+	members, err := p.pairs(n, what)
+	if err != nil {
+		return nil, err
+	}
+	vars := map[string]string{}
+	for _, m := range members {
+		v := m.value
+		if v.Kind == yaml.AliasNode {
+			v = v.Alias
+		}
+		if v.Kind == yaml.ScalarNode {
+			vars[m.key.Value] = v.Value
+			continue
+		}
+		text, err := yaml.Marshal(v)
+		if err != nil {
+			return nil, fmt.Errorf("%s:%d: %w", p.path, v.Line, err)
+		}
+		vars[m.key.Value] = string(text)
+	}
+	return vars, nil
+}
+
+// place moves the variables that tell where a host is.
+func (p *parser) place(h *Host) error {
+	h.Address = h.Name
+	if v := h.Vars[varHost]; v != "" {
+		h.Address = v
+	}
+	if err := checkAddress(h.Address); err != nil {
+		return err
+	}
+	if v := h.Vars[varPort]; v != "" {
+		var err error
+		if h.Port, err = parsePort(v); err != nil {
+			return err
+		}
+	}
+	delete(h.Vars, varHost)
+	delete(h.Vars, varPort)
+	return nil
+}
--- /dev/null
+++ b/internal/store/store_test.go
@@ -0,0 +1,142 @@
+package store
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+)
+
+const patience = 60 * time.Second
+
+func open(t *testing.T, id, listen, dir string) *Store {
+	t.Helper()
+	s, err := Open(Options{ID: id, Listen: listen, Dir: dir})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+func ready(t *testing.T, nodes ...*Store) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), patience)
+	defer cancel()
+	for _, s := range nodes {
+		if err := s.Ready(ctx); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+// set writes on a node; while a leader is being chosen the write is refused, and is made again.
+func set(t *testing.T, s *Store, key, value string) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), patience)
+	defer cancel()
+	for ctx.Err() == nil {
+		err := s.Set(key, []byte(value))
+		if err == nil {
+			return
+		}
+		if !errors.Is(err, ErrNoQuorum) {
+			t.Fatal(err)
+		}
+		s.Ready(ctx)
+	}
+	t.Fatalf("%s was not written", key)
+}
+
+func want(t *testing.T, s *Store, key, value string) {
+	t.Helper()
+	late := time.After(patience)
+	for {
+		changed := s.Changed()
+		if v, ok := s.Get(key); ok && string(v) == value {
+			return
+		}
+		select {
+		case <-changed:
+		case <-late:
+			v, _ := s.Get(key)
+			t.Fatalf("%s is %q, want %q", key, v, value)
+		}
+	}
+}
+
+func TestSnapshotAndRestart(t *testing.T) {
+	dir := t.TempDir()
+	s := open(t, "a", "127.0.0.1:0", dir)
+	at := s.Addr()
+	if err := s.Start(map[string]string{"a": at}); err != nil {
+		t.Fatal(err)
+	}
+	ready(t, s)
+	set(t, s, "config", "one")
+	if fresh, err := s.Begin("e1"); !fresh || err != nil {
+		t.Fatalf("the first begin: %v %v", fresh, err)
+	}
+	if err := s.Snapshot(); err != nil {
+		t.Fatal(err)
+	}
+	set(t, s, "inventory", "after the snapshot")
+	set(t, s, "drain/a", "x")
+	if err := s.Delete("drain/a"); err != nil {
+		t.Fatal(err)
+	}
+	if err := s.Close(); err != nil {
+		t.Fatal(err)
+	}
+	s = open(t, "a", at, dir)
+	defer s.Close()
+	ready(t, s)
+	want(t, s, "config", "one")
+	want(t, s, "inventory", "after the snapshot")
+	set(t, s, "config", "two")
+	if fresh, err := s.Begin("e1"); fresh || err != nil {
+		t.Errorf("an effect begun before the restart begins again: %v %v", fresh, err)
+	}
+	if _, ok := s.Get("drain/a"); ok {
+		t.Error("a deleted key is back")
+	}
+}
+
+func TestLossOfOneNodeAndOfTheQuorum(t *testing.T) {
+	peers := map[string]string{}
+	var nodes []*Store
+	for _, id := range []string{"a", "b", "c"} {
+		s := open(t, id, "127.0.0.1:0", t.TempDir())
+		peers[id] = s.Addr()
+		nodes = append(nodes, s)
+	}
+	for _, s := range nodes {
+		if err := s.Start(peers); err != nil {
+			t.Fatal(err)
+		}
+	}
+	ready(t, nodes...)
+	for i, s := range nodes { // two of these are followers, which send the write on
+		set(t, s, fmt.Sprint("k", i), "v")
+	}
+	for _, s := range nodes {
+		for i := range nodes {
+			want(t, s, fmt.Sprint("k", i), "v")
+		}
+	}
+	if err := nodes[0].Close(); err != nil {
+		t.Fatal(err)
+	}
+	set(t, nodes[1], "after", "one lost")
+	want(t, nodes[2], "after", "one lost")
+	if err := nodes[1].Close(); err != nil {
+		t.Fatal(err)
+	}
+	if err := nodes[2].Set("after", []byte("two lost")); !errors.Is(err, ErrNoQuorum) {
+		t.Errorf("a write without a quorum: %v, want %v", err, ErrNoQuorum)
+	}
+	if fresh, err := nodes[2].Begin("e"); fresh || !errors.Is(err, ErrNoQuorum) {
+		t.Errorf("an effect without a quorum: %v %v", fresh, err)
+	}
+	nodes[2].Close()
+}
