--- /dev/null
+++ b/example/toy/main.go
@@ -0,0 +1,79 @@
+// Command toy is a uwsgi server to try puffinsaddle with: each request takes a little while and is answered with
+// its own body. With -ask it is a client instead, and sends one request to the order server.
+package main
+
+import (
+	"bufio"
+	"flag"
+	"fmt"
+	"io"
+	"log"
+	"net"
+	"strconv"
+	"time"
+
+	"puffinsaddle/internal/net/uwsgi"
+)
+
+func main() {
+	listen := flag.String("listen", "127.0.0.1:3031", "where the server listens")
+	work := flag.Duration("work", 200*time.Millisecond, "how long a request takes")
+	ask := flag.String("ask", "", "be a client, and send one request of this class")
+	to := flag.String("to", "127.0.0.1:3030", "where the client sends it")
+	body := flag.String("body", "", "its body")
+	flag.Parse()
+	var err error
+	if *ask != "" {
+		err = send(*to, *ask, *body)
+	} else {
+		err = serve(*listen, *work)
+	}
+	if err != nil {
+		log.Fatal(err)
+	}
+}
+
+// send makes one request and prints the whole response.
+func send(to, class, body string) error {
+	conn, err := net.Dial("tcp", to)
+	if err != nil {
+		return err
+	}
+	defer conn.Close()
+	packet, err := uwsgi.AppendPacket(nil, map[string]string{"REQUEST_METHOD": "POST", "PATH_INFO": "/" + class,
+		"CONTENT_LENGTH": strconv.Itoa(len(body))})
+	if err != nil {
+		return err
+	}
+	if _, err := conn.Write(append(packet, body...)); err != nil {
+		return err
+	}
+	answer, err := io.ReadAll(conn)
+	fmt.Printf("%s\n", answer)
+	return err
+}
+
+func serve(listen string, work time.Duration) error {
+	ln, err := net.Listen("tcp", listen)
+	if err != nil {
+		return err
+	}
+	log.Printf("toy server on %s", ln.Addr())
+	for {
+		conn, err := ln.Accept()
+		if err != nil {
+			return err
+		}
+		go func() {
+			defer conn.Close()
+			vars, body, err := uwsgi.ReadPacket(bufio.NewReader(conn), 1<<20)
+			if err != nil {
+				log.Printf("no request: %v", err)
+				return
+			}
+			log.Printf("%s %s: %d bytes", vars["ORDER_ID"], vars["PATH_INFO"], len(body))
+			time.Sleep(work)
+			fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+		}()
+	}
+}
--- a/internal/net/uwsgi/codec.go
+++ b/internal/net/uwsgi/codec.go
@@ -77,6 +77,15 @@
 	return &packet{vars, body}, nil
 }
 
+// ReadPacket reads one request as a server does: its variables and its body.
+func ReadPacket(r io.Reader, mostBody int) (map[string]string, []byte, error) {
+	p, err := readPacket(r, mostBody)
+	if err != nil {
+		return nil, nil, err
+	}
+	return p.vars, p.body, nil
+}
+
 // noEOF tells an end within a packet from one before it.
 func noEOF(err error) error {
 	if err == io.EOF {
@@ -113,8 +122,8 @@
 	return vars, nil
 }
 
-// appendPacket writes a packet without its body; the variables go in order of their names.
-func appendPacket(b []byte, vars map[string]string) ([]byte, error) {
+// AppendPacket writes a packet without its body; the variables go in order of their names.
+func AppendPacket(b []byte, vars map[string]string) ([]byte, error) {
 	names := make([]string, 0, len(vars))
 	size := 0
 	for k, v := range vars {
--- a/internal/net/uwsgi/runner.go
+++ b/internal/net/uwsgi/runner.go
@@ -57,7 +57,7 @@
 	defer timer.Stop()
 
 	q := a.Request
-	head, err := appendPacket(nil, map[string]string{
+	head, err := AppendPacket(nil, map[string]string{
 		"REQUEST_METHOD": "POST", "PATH_INFO": "/" + q.Class, "REQUEST_URI": "/" + q.Class, "QUERY_STRING": "",
 		"SERVER_PROTOCOL": "HTTP/1.1", "CONTENT_LENGTH": strconv.Itoa(len(q.Body)),
 		varClass: q.Class, varID: q.ID, varKey: q.Key,
