Part credits by room among few callers, instead of under one request each

A credit is now the share left of the room for two requests a core, parted among the callers; with hundreds of callers it is what it was.

--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -525,6 +525,38 @@
 	}
 }
 
+// A handful of callers that carry all traffic must not be told to have less than one request each here: the
+// cores then stand idle while requests are refused.
+func TestCreditLeavesFewCallersRoom(t *testing.T) {
+	r := newRig(t, func(s *Settings) { s.Hint, s.Callers = HintCredit, 1 })
+	full(r)
+	least, most := -1.0, -1.0
+	for i := ID(0); i < 150; i++ {
+		r.now += 20 * ms
+		for _, a := range r.n.Handle(r.now, []Event{iron(10 + i), gauges(1, 2, 0)}) {
+			if h, ok := a.(Advise); ok {
+				if least < 0 || h.Value < least {
+					least = h.Value
+				}
+				most = max(most, h.Value)
+			}
+		}
+	}
+	room := creditPerCore * float64(r.n.set.Cores)
+	if least < room*(1-shedMost)-0.001 || most >= room {
+		t.Errorf("credits from %v to %v, with room for %v", least, most, room)
+	}
+	for _, c := range []struct {
+		callers    int
+		shed, want float64
+	}{{3, 0.5, 2}, {3, 0, 4}, {6, 0.25, 1.5}, {1000, 0.5, 0.5}} {
+		n := &Instance{set: Settings{Cores: 6, Callers: c.callers}}
+		if got := n.credit(c.shed); got != c.want {
+			t.Errorf("%d callers, shed %v: credit %v, want %v", c.callers, c.shed, got, c.want)
+		}
+	}
+}
+
 func TestNoAdviceWhereThereIsNoHint(t *testing.T) {
 	r := newRig(t, nil)
 	full(r)
