--- a/internal/net/fronts_test.go
+++ b/internal/net/fronts_test.go
@@ -143,10 +143,7 @@
 
 // A notice to drain finds one booking running, one half read and one still to come: each gets one answer.
 func TestDrainAnswersEveryone(t *testing.T) {
-	x := newExecutor(t)
-	h := withExecutor(t, x, "127.0.0.1:1")
-	x.welcome(0)
-	x.pass()
+	x, h := serving(t)
 	p := h.router()
 	p.req(1, 1, "book-delivery", "", "a")
 	x.want("EXEC", id(1))
@@ -179,10 +176,7 @@
 // A gateway that goes away is a caller that has gone: its held request is never run. Overdue and refused
 // requests have statuses of their own.
 func TestGatewayGoneOverdueRefused(t *testing.T) {
-	x := newExecutor(t)
-	h := withExecutor(t, x, "127.0.0.1:1")
-	x.welcome(0)
-	x.pass()
+	x, h := serving(t)
 	g := h.gateway(packet("a", "ORDER_CLASS", "book-delivery", "ORDER_ID", id(1), "ORDER_WAIT", "1000"), false)
 	x.want("EXEC", id(1))
 	if status, _, _ := g.answers(); status != http.StatusGatewayTimeout {
--- a/internal/net/peers_test.go
+++ b/internal/net/peers_test.go
@@ -88,6 +88,16 @@
 	return h
 }
 
+// serving builds a house whose executor is up and whose vault is down.
+func serving(t *testing.T) (*executorPeer, *house) {
+	t.Helper()
+	x := newExecutor(t)
+	h := withExecutor(t, x, "127.0.0.1:1")
+	x.welcome(0)
+	x.pass()
+	return x, h
+}
+
 type command struct {
 	words []string
 	body  []byte
--- a/internal/net/stories_test.go
+++ b/internal/net/stories_test.go
@@ -54,10 +54,7 @@
 // The link breaks: what had no notice is sent again, but only once the fence shows that it did not arrive, and
 // a notice that comes twice counts once.
 func TestLinkBreaksWithCommandsOfUnknownFate(t *testing.T) {
-	x := newExecutor(t)
-	h := withExecutor(t, x, "127.0.0.1:1")
-	x.welcome(0)
-	x.pass()
+	x, h := serving(t)
 	p := h.router()
 	p.req(1, 1, "book-delivery", "", "a")
 	x.want("EXEC", id(1))
@@ -83,10 +80,7 @@
 // The due time passes while the work goes on: the answer does not wait for it, nor does the work's end bring
 // a second one.
 func TestOverdueIsAnsweredBeforeTheRunEnds(t *testing.T) {
-	x := newExecutor(t)
-	h := withExecutor(t, x, "127.0.0.1:1")
-	x.welcome(0)
-	x.pass()
+	x, h := serving(t)
 	p := h.router()
 	p.req(1, 1, "book-delivery", ",wait=1000", "a")
 	x.want("EXEC", id(1))
@@ -102,10 +96,7 @@
 
 // An id that came before is not run again, whether its first try is open or over.
 func TestOneEffectForOneID(t *testing.T) {
-	x := newExecutor(t)
-	h := withExecutor(t, x, "127.0.0.1:1")
-	x.welcome(0)
-	x.pass()
+	x, h := serving(t)
 	p := h.router()
 	p.req(1, 7, "book-delivery", "", "a")
 	x.want("EXEC", id(7))
@@ -119,10 +110,7 @@
 
 // Malformed input ends its own connection and no other. redcon's parser panics on the second of these.
 func TestMalformedInputEndsItsOwnConnection(t *testing.T) {
-	x := newExecutor(t)
-	h := withExecutor(t, x, "127.0.0.1:1")
-	x.welcome(0)
-	x.pass()
+	x, h := serving(t)
 	good := h.router()
 	for _, bad := range []string{"*1\r\n$x\r\n", "*1\r\n$9223372036854775807\r\n+", "*2\r\n$3\r\nREQ\r\n$1\r\n0\r\n",
 		"*2\r\n$4\r\nWHAT\r\n$1\r\n1\r\n", "*3\r\n$3\r\nREQ\r\n$1\r\n1\r\n$1\r\nx\r\n", "*2\r\n$9999999\r\n" + strings.Repeat("x", 40<<10)} {
@@ -140,10 +128,7 @@
 
 // A router that reads none of its answers is cut off; the others are served all the while.
 func TestSlowReaderStallsNobody(t *testing.T) {
-	x := newExecutor(t)
-	h := withExecutor(t, x, "127.0.0.1:1")
-	x.welcome(0)
-	x.pass()
+	x, h := serving(t)
 	slow, good := h.router(), h.router()
 	slow.conn.(*net.TCPConn).SetReadBuffer(4096)
 	cut := make(chan struct{})
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -32,6 +32,7 @@
 	callTries     = 4                     // a call proven unrun is made so many times at most
 	callBackoff   = 30 * time.Millisecond // first wait between such tries; doubles
 	pauseShare    = 0.25                  // longest advice to stay away, as a part of what is heeded
+	pauseLeast    = 20 * time.Millisecond // shortest such advice: by then a few runs have ended
 	unreadMost    = 0.8                   // part of the tightest aim that requests may wait unread
 	skipAfter     = 0.5                   // a call that may be left out gets this part of the time left
 	breakAfter    = 5                     // failed calls in a row that open the breaker
@@ -343,8 +344,7 @@
 		n.classes[r.class].refused++
 		last := n.short() || n.retryShare > retriesMost && n.shed > shedMost/2 ||
 			n.retryShare > retriesMany && n.now > n.latestStart(r, doubtMargin)
-		pause := n.shed * pauseShare * float64(n.set.MaxPause) // goes on to clients, which no hint reaches
-		n.do(Refuse{ID: r.ID, Pause: time.Duration(pause), NoRetry: last})
+		n.do(Refuse{ID: r.ID, Pause: n.comeBack(), NoRetry: last})
 	}
 	if r.state == running || r.state == calling {
 		return // its memory is back with its Finished
@@ -352,6 +352,13 @@
 	n.close(r)
 }
 
+// comeBack is the advice that goes with a refusal; it goes on to clients, which no hint reaches. Each refusal
+// has some: one without it comes back at once, to the same full hold.
+func (n *Instance) comeBack() time.Duration {
+	pause := max(time.Duration(n.shed*pauseShare*float64(n.set.MaxPause)), pauseLeast)
+	return min(pause, n.set.MaxPause)
+}
+
 // close ends a request's books; those that follow it are served, failed or held by what it left.
 func (n *Instance) close(r *request) {
 	if r.state == over {
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -525,6 +525,28 @@
 	}
 }
 
+// A refusal tells when to come back, though nobody is being told to shed; where the site heeds no advice it
+// gives none.
+func TestEachRefusalTellsWhenToComeBack(t *testing.T) {
+	for _, c := range []struct{ most, want time.Duration }{{time.Second, pauseLeast}, {5 * ms, 5 * ms}, {0, 0}} {
+		r := newRig(t, func(s *Settings) { s.MaxPause = c.most })
+		n := 0
+		for i := ID(1); i <= 100; i++ {
+			for _, a := range r.n.Handle(r.now, []Event{iron(i)}) {
+				if f, ok := a.(Refuse); ok {
+					n++
+					if f.Pause != c.want {
+						t.Errorf("at most %v: a refusal with %v, want %v", c.most, f.Pause, c.want)
+					}
+				}
+			}
+		}
+		if n == 0 {
+			t.Error("nothing was refused")
+		}
+	}
+}
+
 // A handful of callers that carry all traffic must not be told to have less than one request each here: the
 // cores then stand idle while requests are refused.
 func TestCreditLeavesFewCallersRoom(t *testing.T) {
