--- a/cmd/puffinsaddle/main.go
+++ b/cmd/puffinsaddle/main.go
@@ -164,7 +164,7 @@
 	if set.ID == "" {
 		set.ID = cfg.Name
 	}
-	s, err := store.Open(store.Options{ID: set.ID, Listen: set.Listen, Dir: set.Dir, Peers: set.Peers, Log: log.Level(zerolog.WarnLevel)})
+	s, err := store.Open(store.Options{ID: set.ID, Listen: set.Listen, Dir: set.Dir, Peers: set.Peers, Log: log})
 	if err != nil {
 		return nil, err
 	}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -68,6 +68,7 @@
 	if err == nil {
 		conf := raft.DefaultConfig()
 		conf.LocalID, conf.LogOutput, conf.SnapshotThreshold = raft.ServerID(o.ID), o.Log, snapshotAfter
+		conf.LogLevel = "WARN"
 		s.raft, err = raft.NewRaft(conf, s.machine, s.bolt, s.bolt, snapshots, s.trans)
 	}
 	if err != nil {
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -39,7 +39,7 @@
 	shedAbove     = 0.05                  // refused share from which callers are told to send less
 	shedGain      = 0.5                   // part of the refused share that is shed more in a window
 	shedBack      = 0.05                  // share that is let back in a window without refusals
-	creditPerCore = 2.0                   // requests a core that callers may have here while they are told to shed
+	creditPerCore = 2.0                   // requests a core that callers have here while they shed
 	shedMost      = 0.65                  // some traffic always comes, or nothing would be learned
 	fullWaitShare = 0.95                  // a told wait under this part of the fullest is a further try's
 	retriesMany   = 0.2                   // share of further tries that shows the fleet short
