Bound gateway connections within the descriptor budget, half of which is the routers'

uwsgi connections that are only turned away held descriptors without a bound; past twice the set number they are closed at once, and config refuses a number that would take the routers' half.

--- a/cmd/puffinsaddle/main.go
+++ b/cmd/puffinsaddle/main.go
@@ -117,7 +117,7 @@
 func listen(cfg *config.Config, c *core.Core, clk *clock.Clock, log zerolog.Logger) ([]core.Front, error) {
 	var fronts []core.Front
 	if cfg.Listen != "" {
-		f, err := respfront.Listen(cfg.Listen, cfg.Sockets-spareSockets, c, clk, log)
+		f, err := respfront.Listen(cfg.Listen, cfg.RouterSockets(), c, clk, log)
 		if err != nil {
 			return nil, err
 		}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -20,6 +20,8 @@
 	defaultMemoryMB = 192.0
 	defaultSockets  = 1024
 	defaultStopMs   = 3000.0
+
+	spareSockets = 64 // descriptors for the executor, the vault, logs and the rest
 )
 
 // Config is all that the program is told.
@@ -115,6 +117,15 @@
 	return c, nil
 }
 
+// RouterSockets is how many descriptors connections of routers may use.
+func (c *Config) RouterSockets() int {
+	most := c.Sockets - min(spareSockets, c.Sockets/4)
+	if c.Operator.UWSGI.Listen != "" {
+		most -= 2 * c.Operator.UWSGI.Conns
+	}
+	return most
+}
+
 func (c *Config) check() error {
 	if c.Name == "" {
 		return errors.New(`config: "name" is missing`)
@@ -141,6 +152,9 @@
 	case !(c.StopMs >= 0):
 		return errors.New(`config: "stop_ms" must be 0 or more`)
 	}
+	if c.Listen != "" && c.RouterSockets() < c.Sockets/2 {
+		return errors.New("uwsgi.connections: takes descriptors that routers may need, who use half of limits.sockets")
+	}
 	// A probe of the module's own check, so that a faulty setting is named before anything listens.
 	if _, err := policy.New(c.Settings, c.Seed); err != nil {
 		return fmt.Errorf(`config: "settings": %w`, err)
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -60,6 +60,7 @@
 		{"", "", "uwsgi: {lisen: x}", "lisen"},
 		{"", "", "uwsgi: {listen: x}", "uwsgi.listen"},
 		{"", "", "uwsgi: {servers: [x]}", "uwsgi.servers[0]"},
+		{"", "", "uwsgi: {listen: ':1', connections: 300}", "uwsgi.connections"},
 		{"", "", "uwsgi: {kb: -1}", "uwsgi.kb"},
 		{"", "", "store: {listen: ':1'}", "store.dir"},
 		{"", "", "store: {listen: ':1', dir: x, peers: {b: y}}", "store.peers.b"},
--- a/internal/net/uwsgi/front.go
+++ b/internal/net/uwsgi/front.go
@@ -60,7 +60,13 @@
 func (f *Front) Serve() {
 	f.ln.Serve(func(conn net.Conn) {
 		f.mu.Lock()
-		full := len(f.conns) >= f.set.Conns
+		open := len(f.conns)
+		full := open >= f.set.Conns
+		if open >= 2*f.set.Conns { // even those to be turned away hold a descriptor each for a while
+			f.mu.Unlock()
+			conn.Close()
+			return
+		}
 		f.conns[conn] = true
 		f.mu.Unlock()
 		go func() {
