--- a/policy/policy.go
+++ b/policy/policy.go
@@ -39,7 +39,7 @@
 	shedAbove     = 0.05                  // refused share from which callers are told to send less
 	shedGain      = 0.5                   // part of the refused share that is shed more in a window
 	shedBack      = 0.05                  // share that is let back in a window without refusals
-	creditPerCore = 2.0                   // requests a core that callers have here while they shed
+	creditPerCore = 4.0                   // requests a core that callers have here while they shed
 	shedMost      = 0.65                  // some traffic always comes, or nothing would be learned
 	fullWaitShare = 0.95                  // a told wait under this part of the fullest is a further try's
 	retriesMany   = 0.2                   // share of further tries that shows the fleet short
@@ -626,9 +626,9 @@
 	}
 }
 
-// credit parts among the callers what this server has room for, less the share to stay away: the runs of the
-// floor and as many held. Guards against starving the cores where a handful of callers carry all traffic; of
-// hundreds each has a credit under 1, which counts by chance.
+// credit parts among the callers what this server has room for, less the share to stay away: runs, held and
+// unread, for callers never all have theirs. Guards against starving the cores where a handful of callers
+// carry all traffic; of hundreds each has a credit under 1, which counts by chance.
 func (n *Instance) credit(shed float64) float64 {
 	room := creditPerCore * float64(n.set.Cores) / float64(max(n.set.Callers, 1))
 	return (1 - shed) * max(room, 1)
