--- a/cmd/puffinsaddle/main.go
+++ b/cmd/puffinsaddle/main.go
@@ -35,23 +35,25 @@
 )
 
 func main() {
-	cfg, err := config.Load(os.Getenv)
+	// Caught before anything else: a notice that comes while the program starts must not end it.
+	signals := make(chan os.Signal, 8)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt, syscall.SIGHUP)
+	load := func() (*config.Config, error) { return config.Load(os.Getenv) }
+	cfg, err := load()
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "puffinsaddle:", err)
 		os.Exit(2)
 	}
 	zerolog.TimeFieldFormat = zerolog.TimeFormatUnixMs
 	log := zerolog.New(os.Stdout).With().Timestamp().Str("name", cfg.Name).Logger().Level(zerolog.InfoLevel)
-	if err := run(cfg, log); err != nil {
+	if err := run(cfg, load, signals, log); err != nil {
 		log.Error().Err(err).Msg("stopped")
 		os.Exit(1)
 	}
 }
 
-// run wires the parts and serves until the notice to drain is carried out.
-func run(cfg *config.Config, log zerolog.Logger) error {
-	notice := make(chan os.Signal, 1)
-	signal.Notify(notice, syscall.SIGTERM, os.Interrupt)
+// run wires the parts and serves until the notice to drain is carried out. load reads the configuration again.
+func run(cfg *config.Config, load func() (*config.Config, error), signals <-chan os.Signal, log zerolog.Logger) error {
 	runtime.GOMAXPROCS(max(int(math.Ceil(cfg.Cores)), 1))
 	debug.SetMemoryLimit(int64(cfg.MemoryMB * memoryPart * (1 << 20)))
 
@@ -87,7 +89,8 @@
 	if runner == nil {
 		return errors.New("nobody does the work: no executor is named, and no uwsgi server is in the inventory's group")
 	}
-	c = core.New(clk, log, cfg.Settings, cfg.Seed, runner, vault.New(cfg.Vault, clk), ledger)
+	calls := vault.New(cfg.Vault, clk)
+	c = core.New(clk, log, cfg.Settings, cfg.Seed, runner, calls, ledger)
 	fronts, err := listen(cfg, c, clk, log)
 	if err != nil {
 		return err
@@ -99,18 +102,50 @@
 		c.Up(false)
 	}
 	reporter := members.New(cfg.Members, cfg.Name)
-	if cfg.Members != "" {
-		go reporter.Run(ctx)
+	go reporter.Run(ctx)
+
+	left := make(chan struct{})
+	draining := false
+	for {
+		select {
+		case s := <-signals:
+			switch {
+			case s == syscall.SIGHUP: // also during a drain: open runs need the new addresses until their end
+				reload(load, log, func(now *config.Config) {
+					if link != nil && now.Executor != "" {
+						link.Move(now.Executor)
+					}
+					calls.Move(now.Vault)
+					reporter.Move(now.Members)
+				})
+			case !draining:
+				draining = true
+				log.Info().Float64("stop_ms", cfg.StopMs).Msg("draining")
+				reporter.Leave()
+				if state != nil {
+					go func() { note(log, state.Set(drainMark+cfg.Name, []byte("draining"))) }() // the drain waits for no quorum
+				}
+				go func() {
+					c.Leave(cfg.StopMs, fronts...)
+					close(left)
+				}()
+			}
+		case <-left:
+			return nil
+		}
 	}
+}
 
-	<-notice
-	log.Info().Float64("stop_ms", cfg.StopMs).Msg("draining")
-	reporter.Leave()
-	if state != nil {
-		go func() { note(log, state.Set(drainMark+cfg.Name, []byte("draining"))) }() // the drain waits for no quorum
+// reload reads the configuration again and hands it on; a faulty one changes nothing. What is not an address
+// of a peer needs a restart.
+func reload(load func() (*config.Config, error), log zerolog.Logger, use func(*config.Config)) {
+	now, err := load()
+	if err != nil {
+		log.Error().Err(err).Msg("configuration not taken; the old one stays in force")
+		return
 	}
-	c.Leave(cfg.StopMs, fronts...)
-	return nil
+	log.Info().Str("executor", now.Executor).Str("vault", now.Vault).Str("members", now.Members).Msg("configuration read again")
+	use(now)
 }
 
 // listen opens the fronts that the configuration names.
--- /dev/null
+++ b/cmd/puffinsaddle/main_test.go
@@ -0,0 +1,128 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+
+	"github.com/rs/zerolog"
+
+	"puffinsaddle/internal/config"
+)
+
+const text = `{"name":"n1","listen":"127.0.0.1:0","executor":%q,"vault":"127.0.0.1:1","members":%q,"stop_ms":1e7,
+"settings":{"classes":[{"name":"book","aim":1700000000,"deadline":5000000000,"worth":4.0,"idempotency":"unsafe"}],
+"extra":{"nCores":6,"heapKb":10998.0,"runMemFactor":4.0},"limits":{},"rules":{"fallMultiple":8.0},"tick":4000000}}`
+
+// logLines hands the program's log to the test, line by line.
+type logLines chan string
+
+func (l logLines) Write(b []byte) (int, error) { l <- string(b); return len(b), nil }
+
+func (l logLines) want(t *testing.T, word string) {
+	t.Helper()
+	for line := range l {
+		if strings.Contains(line, word) {
+			return
+		}
+	}
+	t.Fatalf("the log ended without %q", word)
+}
+
+func executorPeer(t *testing.T) (address string, joined <-chan string) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	joins := make(chan string, 10)
+	go func() {
+		for {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			line, _ := bufio.NewReader(conn).ReadString('\n')
+			joins <- strings.TrimSpace(line)
+			t.Cleanup(func() { conn.Close() })
+		}
+	}()
+	return ln.Addr().String(), joins
+}
+
+func membersPeer(t *testing.T) net.PacketConn {
+	c, err := net.ListenPacket("udp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	return c
+}
+
+func report(t *testing.T, c net.PacketConn) string {
+	b := make([]byte, 100)
+	n, _, err := c.ReadFrom(b)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(b[:n])
+}
+
+// A notice to read the configuration again: a faulty file names its key and changes nothing, a good one moves
+// the executor's link and the reports, before WELCOME and during a drain alike, and the process goes on.
+func TestConfigurationIsReadAgain(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "config.json")
+	load := func() (*config.Config, error) {
+		return config.Load(func(k string) string { return map[string]string{"RELAY_CONFIG": path}[k] })
+	}
+	write := func(s string) {
+		if err := os.WriteFile(path, []byte(s), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	first, firstJoins := executorPeer(t)
+	second, secondJoins := executorPeer(t)
+	third, thirdJoins := executorPeer(t)
+	m1, m2 := membersPeer(t), membersPeer(t)
+	write(fmt.Sprintf(text, first, m1.LocalAddr()))
+	cfg, err := load()
+	if err != nil {
+		t.Fatal(err)
+	}
+	lines, signals, done := make(logLines, 1000), make(chan os.Signal), make(chan error, 1)
+	go func() { done <- run(cfg, load, signals, zerolog.New(lines)) }()
+	if j := <-firstJoins; j != "JOIN 0" {
+		t.Fatalf("joined with %q", j)
+	}
+	if r := report(t, m1); r != "HB n1 UP" {
+		t.Fatalf("reported %q", r)
+	}
+	write(strings.Replace(fmt.Sprintf(text, second, m2.LocalAddr()), `"stop_ms":1e7`, `"stop_ms":"soon"`, 1))
+	signals <- syscall.SIGHUP
+	lines.want(t, "stop_ms")
+	write(fmt.Sprintf(text, second, m2.LocalAddr()))
+	signals <- syscall.SIGHUP
+	if j := <-secondJoins; j != "JOIN 0" {
+		t.Fatalf("joined with %q", j)
+	}
+	if r := report(t, m2); r != "HB n1 UP" {
+		t.Fatalf("reported %q", r)
+	}
+	if len(firstJoins) > 0 {
+		t.Error("the old address was joined again")
+	}
+	signals <- syscall.SIGTERM
+	lines.want(t, "draining")
+	write(fmt.Sprintf(text, third, m2.LocalAddr()))
+	signals <- syscall.SIGHUP
+	select {
+	case <-thirdJoins:
+	case err := <-done:
+		t.Errorf("ended in the middle of its drain: %v", err)
+	}
+}
--- a/internal/net/executor/executor.go
+++ b/internal/net/executor/executor.go
@@ -25,28 +25,30 @@
 
 const (
 	redial      = 20 * time.Millisecond
-	mostPayload = 1 << 20 // bytes of a result or a call's body; the protocol has 4 KiB
-	mostWaiting = 4 << 20 // bytes of commands that wait for a slow executor; past this the link is made anew
-	mostAsked   = 64      // gauges and checks asked for at once
+	dialFor     = 2 * time.Second // an address that takes no connection is tried anew after so long
+	mostPayload = 1 << 20         // bytes of a result or a call's body; the protocol has 4 KiB
+	mostWaiting = 4 << 20         // bytes of commands that wait for a slow executor; past this the link is made anew
+	mostAsked   = 64              // gauges and checks asked for at once
 )
 
 // Link is the link to the executor, made anew whenever it breaks.
 type Link struct {
-	address string
-	log     zerolog.Logger
-	up      func(cold bool, ageMs float64)
-	kick    chan struct{}
+	log  zerolog.Logger
+	up   func(cold bool, ageMs float64)
+	kick chan struct{}
 
-	mu     sync.Mutex
-	conn   net.Conn
-	ready  bool   // the fence has passed: every command goes out as it is given
-	fence  string // tag of the METER that closes what the executor tells of the time without a link
-	out    []byte // commands for the writer
-	last   uint64 // the last notice that was read
-	seq    uint64
-	runs   map[string]*run
-	meters map[string]func([]float64)
-	checks map[string]func(bool)
+	mu      sync.Mutex
+	address string
+	leave   func() // ends the present link, or the dialing for it
+	conn    net.Conn
+	ready   bool   // the fence has passed: every command goes out as it is given
+	fence   string // tag of the METER that closes what the executor tells of the time without a link
+	out     []byte // commands for the writer
+	last    uint64 // the last notice that was read
+	seq     uint64
+	runs    map[string]*run
+	meters  map[string]func([]float64)
+	checks  map[string]func(bool)
 }
 
 // run is an attempt that the executor has, or should have.
@@ -58,26 +60,43 @@
 
 // New makes a link; up is called at each WELCOME.
 func New(address string, log zerolog.Logger, up func(cold bool, ageMs float64)) *Link {
-	return &Link{address: address, log: log, up: up, kick: make(chan struct{}, 1), runs: map[string]*run{},
+	return &Link{address: address, leave: func() {}, log: log, up: up, kick: make(chan struct{}, 1), runs: map[string]*run{},
 		meters: map[string]func([]float64){}, checks: map[string]func(bool){}}
 }
 
+// Move takes the link to a new address of the same executor: runs and the numbers of notices go on, and what
+// was on its way over the old link is found out as after any break.
+func (l *Link) Move(address string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.address != address {
+		l.address = address
+		l.leave()
+	}
+}
+
 // Run keeps the link until the context ends.
 func (l *Link) Run(ctx context.Context) {
-	var d net.Dialer
+	d := net.Dialer{Timeout: dialFor}
 	for ctx.Err() == nil {
-		conn, err := d.DialContext(ctx, "tcp", l.address)
+		here, leave := context.WithCancel(ctx)
+		l.mu.Lock()
+		address := l.address
+		l.leave = leave
+		l.mu.Unlock()
+		conn, err := d.DialContext(here, "tcp", address)
 		if err == nil {
-			stop := context.AfterFunc(ctx, func() { conn.Close() })
+			stop := context.AfterFunc(here, func() { conn.Close() })
 			err = l.hold(conn)
 			stop()
 			conn.Close()
-			l.log.Warn().Err(err).Msg("executor link ended")
+			l.log.Warn().Err(err).Str("at", address).Msg("executor link ended")
 		}
 		select {
-		case <-ctx.Done():
+		case <-here.Done(): // moved: the new address is tried at once
 		case <-time.After(redial):
 		}
+		leave()
 	}
 }
 
@@ -87,12 +106,7 @@
 	l.conn, l.ready, l.fence = conn, false, ""
 	l.out = append(l.out[:0], fmt.Sprintf("JOIN %d\r\n", l.last)...)
 	clear(l.meters) // asked on a link that is gone; nothing waits for them
-	checks := l.checks
-	l.checks = map[string]func(bool){}
 	l.mu.Unlock()
-	for _, answer := range checks {
-		answer(false)
-	}
 	done := make(chan struct{})
 	defer func() {
 		l.mu.Lock()
@@ -293,18 +307,18 @@
 	case w[0] == "METERS" && len(w) >= 2:
 		l.metered(w[1], w[2:])
 	case w[0] == "DIAGNOSED" && len(w) == 3:
-		l.mu.Lock()
-		answer := l.checks[w[1]]
-		delete(l.checks, w[1])
-		l.mu.Unlock()
-		if answer != nil {
-			answer(w[2] == "success")
-		}
+		l.diagnosed(w[1], w[2] == "success")
 	case w[0] == "BAD" && len(w) >= 3:
 		l.log.Error().Strs("notice", w).Msg("command not carried out")
 		if w[1] == "EXEC" { // it never ran, and nothing else will tell its end
 			l.tell(0, w[2], core.Notice{Ended: true, Outcome: policy.Moot})
 		}
+		if w[1] == "METER" { // a site may have no gauges; the fence stands all the same
+			l.metered(w[2], nil)
+		}
+		if w[1] == "DIAG" {
+			l.diagnosed(w[2], true) // nothing speaks against it
+		}
 	case w[0] == "BAD":
 	case w[0] == "LOG" && len(w) >= 2:
 		if n, err := strconv.ParseUint(w[1], 10, 64); err == nil {
@@ -343,6 +357,16 @@
 	r.attempt.Notify(notice)
 }
 
+func (l *Link) diagnosed(tag string, good bool) {
+	l.mu.Lock()
+	answer := l.checks[tag]
+	delete(l.checks, tag)
+	l.mu.Unlock()
+	if answer != nil {
+		answer(good)
+	}
+}
+
 func (l *Link) metered(tag string, values []string) {
 	l.mu.Lock()
 	if tag == l.fence && !l.ready {
@@ -357,6 +381,9 @@
 		for _, r := range again {
 			l.send(r.command)
 		}
+		for tag := range l.checks { // a broken link is no sign of sickness: ask again
+			l.send([]byte("DIAG " + tag + "\r\n"))
+		}
 	}
 	got := l.meters[tag]
 	delete(l.meters, tag)
--- a/internal/net/members/members.go
+++ b/internal/net/members/members.go
@@ -4,51 +4,89 @@
 import (
 	"context"
 	"net"
-	"sync/atomic"
+	"sync"
 	"time"
 )
 
-const every = 800 * time.Millisecond // an entry lapses after 3 s; two reports may be lost
+// every is the time between reports. An entry lapses after 3 s without one, and a quarter of them may be lost:
+// all of the 14 that fall into a lapse are lost once in some 250 million times.
+const every = 200 * time.Millisecond
 
 // Reporter reports that the order server is there.
 type Reporter struct {
-	address, name string
-	leaving       atomic.Bool
+	name string
+	kick chan struct{} // report now
+
+	mu      sync.Mutex
+	address string
+	leaving bool
 }
 
 // New makes a reporter.
-func New(address, name string) *Reporter { return &Reporter{address: address, name: name} }
+func New(address, name string) *Reporter {
+	return &Reporter{address: address, name: name, kick: make(chan struct{}, 1)}
+}
 
 // Leave makes further reports say that the order server leaves.
-func (r *Reporter) Leave() { r.leaving.Store(true) }
+func (r *Reporter) Leave() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.leaving = true
+}
 
-// Run reports until the context ends. The service may be down; then a report is lost, and the next one is
-// sent on a new socket, since the refusal may stick to the old.
+// Move sends the reports to a new address, the next one at once.
+func (r *Reporter) Move(address string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.address = address
+	select {
+	case r.kick <- struct{}{}:
+	default:
+	}
+}
+
+func (r *Reporter) now() (address, report string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.leaving {
+		return r.address, "HB " + r.name + " OUT"
+	}
+	return r.address, "HB " + r.name + " UP"
+}
+
+// Run reports until the context ends; nowhere while the address is empty. The service may be down; then a
+// report is lost, and the next one is sent on a new socket, since the refusal may stick to the old.
 func (r *Reporter) Run(ctx context.Context) {
 	var conn net.Conn
+	var at string
+	drop := func() {
+		if conn != nil {
+			conn.Close()
+		}
+		conn = nil
+	}
+	defer drop()
 	tick := time.NewTicker(every)
 	defer tick.Stop()
 	for {
-		state := "UP"
-		if r.leaving.Load() {
-			state = "OUT"
+		address, report := r.now()
+		if address != at {
+			drop()
+			at = address
 		}
-		if conn == nil {
-			conn, _ = net.Dial("udp", r.address)
+		if conn == nil && at != "" {
+			conn, _ = net.Dial("udp", at)
 		}
 		if conn != nil {
-			if _, err := conn.Write([]byte("HB " + r.name + " " + state)); err != nil {
-				conn.Close()
-				conn = nil
+			if _, err := conn.Write([]byte(report)); err != nil {
+				drop()
 			}
 		}
 		select {
 		case <-ctx.Done():
-			if conn != nil {
-				conn.Close()
-			}
 			return
 		case <-tick.C:
+		case <-r.kick:
 		}
 	}
 }
