Bound the routers' front: mute, half-sent and idle connections end, figures are checked

Checked: CPU was at 0.10 s a second at most, so the table and not the core was full. Values: fields.number let through figures of any size and absent ones; "at" of 1970 reached the module's reading time.

Now: first bytes and whole commands have 2 s; what is idle for 5 s is asked to close and closed 1 s later, if nothing has come; a full table gives up the longest mute connection, then the longest idle one. Figures out of range get "error" and stay out of the books. A request that the executor knows nothing of ends a connection on which nothing was ever served. Ids are kept as 8 bytes, since a piece of a message kept the whole of it.

--- a/internal/core/keys.go
+++ b/internal/core/keys.go
@@ -1,6 +1,8 @@
 package core
 
 import (
+	"encoding/hex"
+	"fmt"
 	"sync"
 
 	"puffinsaddle/policy"
@@ -94,26 +96,39 @@
 	}
 }
 
-// memoryLedger remembers the effects begun in this life of the process, the newest so many of them.
+// memoryLedger remembers the effects begun in this life of the process, the newest so many of them. It grows
+// with what it holds, and keeps no id as text: a piece of a message would keep the whole of it.
 type memoryLedger struct {
 	mu    sync.Mutex
-	begun map[string]bool
-	ring  []string
+	most  int
+	begun map[effect]struct{}
+	ring  []effect
 	next  int
 }
 
-func newMemoryLedger(size int) *memoryLedger {
-	return &memoryLedger{begun: map[string]bool{}, ring: make([]string, size)}
+type effect [8]byte
+
+func newMemoryLedger(most int) *memoryLedger {
+	return &memoryLedger{most: most, begun: map[effect]struct{}{}}
 }
 
 func (m *memoryLedger) Begin(id string) (bool, error) {
+	var e effect
+	if n, err := hex.Decode(e[:], []byte(id)); err != nil || n != len(e) {
+		return false, fmt.Errorf("%q is not 16 hex digits", id)
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.begun[id] {
+	if _, was := m.begun[e]; was {
 		return false, nil
 	}
-	delete(m.begun, m.ring[m.next])
-	m.begun[id], m.ring[m.next] = true, id
-	m.next = (m.next + 1) % len(m.ring)
+	if len(m.ring) < m.most {
+		m.ring = append(m.ring, e)
+	} else {
+		delete(m.begun, m.ring[m.next])
+		m.ring[m.next] = e
+		m.next = (m.next + 1) % m.most
+	}
+	m.begun[e] = struct{}{}
 	return true, nil
 }
--- a/internal/core/life.go
+++ b/internal/core/life.go
@@ -141,6 +141,8 @@
 			switch {
 			case m.Outcome == policy.OK:
 				l.answer(Outcome{Verdict: Served, Result: m.Body})
+			case m.Forged:
+				l.answer(Outcome{Verdict: Failed, Forged: true})
 			case !gone:
 				l.fail()
 			}
--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -40,6 +40,7 @@
 	After   float64 // on a refusal: come back after so many milliseconds; 0: any time
 	Last    bool    // on a refusal: try no other server
 	Unknown bool    // on a refusal: of a class that nobody told us of
+	Forged  bool    // on a failure: whoever does the work knows of no such request
 }
 
 // Attempt is one run of a request at a Runner. An order server makes one at most for each request.
@@ -56,6 +57,7 @@
 	Outcome policy.Outcome // how it ended
 	Took    float64        // milliseconds that it ran
 	Made    float64        // when the result was made, in Unix milliseconds, no later than it truly was
+	Forged  bool           // nothing ran: the Runner knows of no such request
 	Body    []byte         // the result, or what to call with; the life that is told owns it
 }
 
--- a/internal/net/executor/executor.go
+++ b/internal/net/executor/executor.go
@@ -309,9 +309,9 @@
 	case w[0] == "DIAGNOSED" && len(w) == 3:
 		l.diagnosed(w[1], w[2] == "success")
 	case w[0] == "BAD" && len(w) >= 3:
-		l.log.Error().Strs("notice", w).Msg("command not carried out")
-		if w[1] == "EXEC" { // it never ran, and nothing else will tell its end
-			l.tell(0, w[2], core.Notice{Ended: true, Outcome: policy.Moot})
+		l.log.Debug().Strs("notice", w).Msg("command not carried out") // bad clients bring any number of these
+		if w[1] == "EXEC" {                                            // it never ran, and nothing else will tell its end
+			l.tell(0, w[2], core.Notice{Ended: true, Outcome: policy.Moot, Forged: true})
 		}
 		if w[1] == "METER" { // a site may have no gauges; the fence stands all the same
 			l.metered(w[2], nil)
--- a/internal/net/respfront/codec.go
+++ b/internal/net/respfront/codec.go
@@ -12,7 +12,17 @@
 	"puffinsaddle/internal/core"
 )
 
-const mostBody = 2 << 10 // bytes of a body, by the protocol
+const (
+	mostBody = 2 << 10 // bytes of a body, by the protocol
+	mostKB   = 2000.0  // memory booked for a request, by the protocol
+	mostKey  = 256     // bytes of a key; the protocol's have 16
+	mostWait = 600e3   // milliseconds that a router may wait; classes have seconds
+	mostOld  = 60e3    // and that a request may have been under way
+	mostSoon = 1e3     // its clock and ours are the machine's, and can't be further apart
+)
+
+// errValue marks a request that can be read, and whose figures make no sense.
+var errValue = errors.New("value out of range")
 
 // fields are the pairs that go with a request: a=1,b=2.
 type fields map[string]string
@@ -32,42 +42,45 @@
 	return f, nil
 }
 
-func (f fields) number(key string, err *error) float64 {
-	s, ok := f[key]
-	if !ok {
-		return 0
-	}
-	x, e := strconv.ParseFloat(s, 64)
-	if (e != nil || math.IsNaN(x) || math.IsInf(x, 0) || x < 0) && *err == nil {
-		*err = fmt.Errorf("field %q is not a number of 0 or more", key)
+// number reads a figure that has to be there, from least to under most.
+func (f fields) number(key string, least, most float64, err *error) float64 {
+	x, e := strconv.ParseFloat(f[key], 64)
+	if !(e == nil && x >= least && x < most) && *err == nil { // so that NaN is out too
+		*err = fmt.Errorf("%w: field %q", errValue, key)
 	}
 	return x
 }
 
-// request reads REQ TAG CLASS FIELDS BODY. It keeps no part of the arguments but the body.
-func request(args [][]byte) (*core.Request, error) {
+// request reads REQ TAG CLASS FIELDS BODY. It keeps no part of the arguments but the body. What passes here
+// gets to the module's books, so a figure that would spoil them must not: one request said to be an hour old
+// would make the server look slow to itself, one that never runs out of time would be held for good.
+func request(args [][]byte, now float64) (*core.Request, error) {
 	if len(args) < 4 || len(args) > 5 {
 		return nil, errors.New("REQ takes a tag, a class, fields and a body")
 	}
 	f, err := parseFields(args[3])
 	if err != nil {
-		return nil, err
+		return nil, fmt.Errorf("%w: %w", errValue, err)
 	}
 	q := &core.Request{
-		ID: f["id"], Class: string(args[2]), At: f.number("at", &err), Wait: f.number("wait", &err),
-		From: int64(f.number("from", &err)), Retry: f["retry"] == "1", KB: f.number("kb", &err),
-		Rank: f.number("rank", &err), Key: f["key"],
+		ID: strings.Clone(f["id"]), Class: string(args[2]), At: f.number("at", now-mostOld, now+mostSoon, &err),
+		From: int64(f.number("from", 0, 1<<53, &err)), Retry: f["retry"] == "1",
+		KB: f.number("kb", math.SmallestNonzeroFloat64, mostKB, &err), Rank: f.number("rank", 0, 1, &err), Key: strings.Clone(f["key"]),
 	}
-	if err != nil {
-		return nil, err
+	if _, told := f["wait"]; told {
+		q.Wait = f.number("wait", math.SmallestNonzeroFloat64, mostWait, &err)
 	}
 	switch {
+	case err != nil:
 	case !wireID(q.ID):
-		return nil, errors.New(`field "id" is not 16 hex digits`)
-	case q.At == 0:
-		return nil, errors.New(`field "at" is missing`)
+		err = fmt.Errorf(`%w: field "id" is not 16 hex digits`, errValue)
+	case len(q.Key) > mostKey:
+		err = fmt.Errorf("%w: the key is too long", errValue)
 	case len(args) == 5 && len(args[4]) > mostBody:
-		return nil, errors.New("the body is too long")
+		err = fmt.Errorf("%w: the body is too long", errValue)
+	}
+	if err != nil {
+		return nil, err
 	}
 	if len(args) == 5 {
 		q.Body = args[4]
--- a/internal/net/respfront/front.go
+++ b/internal/net/respfront/front.go
@@ -11,8 +11,11 @@
 	"fmt"
 	"io"
 	"net"
+	"os"
 	"strconv"
 	"sync"
+	"sync/atomic"
+	"time"
 
 	"github.com/rs/zerolog"
 	"github.com/tidwall/redcon"
@@ -28,6 +31,13 @@
 	mostUnread = 16 << 10  // bytes of one command; the protocol's largest takes some 2.5 KiB
 	mostUnsent = 512 << 10 // bytes of answers that wait for a slow reader; its connection ends then
 	sweepMs    = 500       // how often idle connections are looked for
+	idleMs     = 5000      // a connection that carries nothing for so long is asked to close, whoever holds it
+	closeMs    = 1000      // and closed so long after the asking: some never heed it
+	mostFaults = 8         // requests that make no sense, after which a connection ends
+	faultPause = 50.0      // milliseconds for which no more is read after each of them
+
+	firstFor = 2 * time.Second // a new connection sends its first whole command within this
+	wholeFor = 2 * time.Second // and any command is whole so long after it began
 )
 
 // Front accepts routers.
@@ -63,9 +73,9 @@
 }
 
 func (f *Front) welcome(nc net.Conn) {
-	c := &conn{front: f, nc: nc, open: map[uint64]*core.Life{}, kick: make(chan struct{}, 1), used: f.clock.Now()}
+	c := &conn{front: f, nc: nc, open: map[uint64]*core.Life{}, kick: make(chan struct{}, 1), used: f.clock.Now(), since: time.Now()}
 	f.mu.Lock()
-	if len(f.conns) >= f.most {
+	if len(f.conns) >= f.most && !f.makeRoom() {
 		f.mu.Unlock()
 		nc.Close() // nothing was read; routers hold to fewer
 		return
@@ -79,6 +89,33 @@
 	go c.read()
 }
 
+// makeRoom gives up the connection that is missed least: one that never sent a command, the oldest of these
+// first, so that a router that has just connected has time to speak; else the one that was idle for longest.
+// Guards against clients that open connections and say nothing, or nothing more.
+func (f *Front) makeRoom() bool {
+	var worst *conn
+	for c := range f.conns {
+		if c.idleSince(f.clock.Now()) && (worst == nil || c.missedLess(worst)) {
+			worst = c
+		}
+	}
+	return worst != nil && f.end(worst)
+}
+
+// end closes a connection with nothing open. What has just come on it would be a request cut off, so then it
+// is left alone. The front's lock is held.
+func (f *Front) end(c *conn) bool {
+	if !accept.Quiet(c.nc) {
+		return false
+	}
+	c.mu.Lock()
+	c.broken = true
+	c.mu.Unlock()
+	c.nc.Close()
+	delete(f.conns, c)
+	return true
+}
+
 // Drain asks all routers for no new requests. The listener stays open: to close it would reset what waits in
 // its queue, which the machine has accepted and we therefore owe answers.
 func (f *Front) Drain() {
@@ -120,16 +157,23 @@
 	}
 }
 
-// sweep asks routers to close what was idle for longer than the module wants. They close it, not we, so that
-// no request crosses the close.
+// sweep asks for the end of what was idle for longer than the module wants, or than anyone needs. Who heeds it
+// closes the connection himself, so that no request crosses the close; who does not is closed a while later.
 func (f *Front) sweep() {
 	f.mu.Lock()
 	closed := f.closed
-	if after := f.core.CloseIdle(); after > 0 && !closed {
-		for c := range f.conns {
-			if c.idleSince(f.clock.Now() - after) {
-				c.closing()
-			}
+	after := float64(idleMs)
+	if wanted := f.core.CloseIdle(); wanted > 0 {
+		after = min(after, wanted)
+	}
+	now := f.clock.Now()
+	for c := range f.conns {
+		switch {
+		case closed || !c.idleSince(now-after):
+		case !c.wasTold(now - closeMs):
+			c.closing()
+		default:
+			f.end(c)
 		}
 	}
 	f.mu.Unlock()
@@ -146,27 +190,57 @@
 
 // conn is one connection: one goroutine reads it, one writes it, and answers come from lives in any order.
 type conn struct {
-	front  *Front
-	nc     net.Conn
-	kick   chan struct{}
-	unread int // bytes read and not yet part of a whole command; the reader's own
+	front *Front
+	nc    net.Conn
+	kick  chan struct{}
+
+	// The reader's own.
+	unread int       // bytes read and not yet part of a whole command
+	since  time.Time // when the command that is being read began, or the connection
+	faults int
+
+	stop atomic.Bool // a forged request came
 
 	mu      sync.Mutex
 	open    map[uint64]*core.Life
 	out     []byte
 	writing bool
 	told    bool // 'closing' was sent
+	toldAt  float64
 	ended   bool // no more is read
 	broken  bool
-	used    float64
+	spoke   bool    // a whole command came
+	served  bool    // one of its requests was
+	used    float64 // when a command or an answer last passed
 }
 
-// Read bounds what one command may make redcon's reader hold.
+// errForged ends a connection on which nothing was served and a request came that nobody made: its other
+// requests are as false, and would take the room of true ones.
+var errForged = errors.New("a request that the executor does not know")
+
+// Read bounds what one command may make redcon's reader hold, and for how long it may be on its way.
 func (c *conn) Read(b []byte) (int, error) {
 	if c.unread > mostUnread {
 		return 0, errors.New("command too long")
 	}
+	var limit time.Time
+	switch {
+	case !c.spoke: // only the reader sets it
+		limit = c.since.Add(firstFor)
+	case c.unread > 0:
+		limit = c.since.Add(wholeFor)
+	}
+	c.nc.SetReadDeadline(limit)
+	if c.stop.Load() {
+		return 0, errForged
+	}
 	n, err := c.nc.Read(b)
+	if err != nil && c.stop.Load() {
+		err = errForged
+	}
+	if c.unread == 0 && c.spoke {
+		c.since = time.Now()
+	}
 	c.unread += n
 	return n, err
 }
@@ -177,9 +251,10 @@
 	c.mu.Lock()
 	c.ended = true
 	var left []*core.Life
-	if err != io.EOF {
+	if err != io.EOF && !errors.Is(err, os.ErrDeadlineExceeded) {
 		// Broken, or not understood: nobody reads answers here any more. After a plain end the router may
-		// still do so, and an answer that nobody wants does no harm.
+		// still do so, and an answer that nobody wants does no harm. The same holds where a command got stuck:
+		// what was read before it is owed its answer, and the connection ends after that.
 		c.broken = true
 		for tag, l := range c.open {
 			left = append(left, l)
@@ -209,6 +284,10 @@
 			return err
 		}
 		c.unread = max(c.unread-len(cmd.Raw), 0)
+		c.since = time.Now()
+		c.mu.Lock()
+		c.spoke, c.used = true, c.front.clock.Now()
+		c.mu.Unlock()
 		if err := c.command(cmd.Args); err != nil {
 			return err
 		}
@@ -254,7 +333,10 @@
 }
 
 func (c *conn) request(tag uint64, args [][]byte) error {
-	q, err := request(args)
+	q, err := request(args, c.front.clock.Now())
+	if errors.Is(err, errValue) {
+		return c.fault(tag, err)
+	}
 	if err != nil {
 		return err
 	}
@@ -265,7 +347,6 @@
 	if !twice && !crowded {
 		c.open[tag] = nil // the answer may come before Open returns
 	}
-	c.used = c.front.clock.Now()
 	c.mu.Unlock()
 	if twice {
 		return fmt.Errorf("tag %d is in use", tag)
@@ -283,14 +364,35 @@
 	return nil
 }
 
+// fault answers a request whose figures make no sense; none of it gets to the module. Who sends many is read
+// slowly, and then no more: guards against clients that send the same again as soon as it is turned away.
+func (c *conn) fault(tag uint64, err error) error {
+	c.mu.Lock()
+	_, twice := c.open[tag]
+	c.mu.Unlock()
+	if c.faults++; twice || c.faults > mostFaults {
+		return err
+	}
+	c.answer(tag, core.Outcome{Verdict: core.Failed})
+	rested := make(chan struct{})
+	c.front.clock.After(faultPause, func() { close(rested) })
+	<-rested
+	return nil
+}
+
 // answer gives a request its one answer.
 func (c *conn) answer(tag uint64, o core.Outcome) {
 	say, says := c.front.core.Say()
 	c.send(func(b []byte) []byte {
 		delete(c.open, tag)
 		c.used = c.front.clock.Now()
+		c.served = c.served || o.Verdict == core.Served
+		o.Forged = o.Forged && !c.served
 		return appendAnswer(b, tag, say, says, o)
 	})
+	if o.Forged && !c.stop.Swap(true) {
+		c.nc.SetReadDeadline(time.Unix(1, 0)) // wakes the reader, which ends the connection
+	}
 }
 
 // send queues bytes for the writer and never waits.
@@ -318,7 +420,9 @@
 func (c *conn) closing() {
 	c.mu.Lock()
 	told := c.told
-	c.told = true
+	if !told {
+		c.told, c.toldAt = true, c.front.clock.Now()
+	}
 	c.mu.Unlock()
 	if !told {
 		c.send(appendClosing)
@@ -328,7 +432,29 @@
 func (c *conn) idleSince(ms float64) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return len(c.open) == 0 && c.used < ms
+	return len(c.open) == 0 && !c.writing && len(c.out) == 0 && c.used <= ms
+}
+
+func (c *conn) wasTold(ms float64) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.told && c.toldAt <= ms
+}
+
+// missedLess orders idle connections by how little their end would harm.
+func (c *conn) missedLess(o *conn) bool {
+	spoke, used := c.state()
+	otherSpoke, otherUsed := o.state()
+	if spoke != otherSpoke {
+		return !spoke
+	}
+	return used < otherUsed
+}
+
+func (c *conn) state() (spoke bool, used float64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.spoke, c.used
 }
 
 func (c *conn) unsent() bool {
@@ -368,7 +494,7 @@
 				}
 				return
 			}
-			if cap(buf) > 4*pool.Size {
+			if cap(buf) > pool.Size {
 				buf = nil // a burst must not stay in memory
 			}
 		}
--- a/internal/net/stories_test.go
+++ b/internal/net/stories_test.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"os"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -311,3 +312,93 @@
 	y.notice("EXIT", id(1)+" success 12", "A")
 	p.want("1", "done", "", "A")
 }
+
+// Figures that make no sense are answered with an error at once, and get neither to the module nor to the
+// executor; the connection goes on, and ends where they don't stop.
+func TestFalseFiguresStayOutside(t *testing.T) {
+	x, h := serving(t)
+	now := time.Now().UnixMilli()
+	good := fmt.Sprintf("id=%016x,at=%d,from=4,kb=10,rank=0.5", 99, now)
+	for _, c := range []struct{ old, new string }{
+		{"kb=10", "kb=NaN"}, {"kb=10", "kb=-1"}, {"kb=10", "kb=0"}, {"kb=10", "kb=2000"}, {",kb=10", ""}, {"kb=10", "kb=+Inf"},
+		{"rank=0.5", "rank=1"}, {"rank=0.5", "rank=-0.1"}, {",rank=0.5", ""}, {"from=4", "from=1e300"}, {"from=4", "from=-4"},
+		{",from=4", ""}, {"rank=0.5", "rank=0.5,wait=0"}, {"rank=0.5", "rank=0.5,wait=1e12"}, {"rank=0.5", "rank=0.5,wait=nan"},
+		{fmt.Sprint(now), "1"}, {fmt.Sprint(now), "1e18"}, {fmt.Sprintf("at=%d,", now), ""}, {"id=", "it="}, {"id=0", "id="},
+		{"id=0", "id=x"}, {"rank", "=,rank"},
+	} {
+		p := h.router()
+		p.send("REQ", "1", "tank-level", strings.Replace(good, c.old, c.new, 1), "")
+		p.want("1", "error")
+	}
+	p := h.router()
+	for i := 1; i <= 8; i++ {
+		p.send("REQ", strconv.Itoa(i), "tank-level", "id=none", "")
+		p.want(strconv.Itoa(i), "error")
+	}
+	p.send("REQ", "9", "tank-level", "id=none", "")
+	if n, err := io.Copy(io.Discard, p.r); n > 0 || err != nil {
+		t.Errorf("the ninth was answered with %d bytes, %v", n, err)
+	}
+	p = h.router()
+	p.req(1, 1, "book-delivery", "", "a")
+	x.want("EXEC", id(1)) // the first command of all
+}
+
+// A request that the executor knows nothing of fails, and takes with it those that came beside it.
+func TestForgedRequestsEndTheirConnection(t *testing.T) {
+	x, h := serving(t)
+	good, bad := h.router(), h.router()
+	good.req(1, 1, "book-delivery", "", "a")
+	x.want("EXEC", id(1))
+	x.notice("EXIT", id(1)+" success 1", "A")
+	good.want("1", "done", "", "A")
+	for i, p := range []*routerPeer{bad, good} {
+		p.req(2, 10+i, "book-delivery", "", "b")
+		x.want("EXEC", id(10+i))
+		p.req(3, 20+i, "book-delivery", "", "c")
+		x.want("EXEC", id(20+i))
+		x.say("BAD EXEC %s", id(10+i))
+	}
+	if _, err := io.Copy(io.Discard, bad.r); err != nil {
+		t.Error(err) // closed by the server, with its error or without
+	}
+	good.want("2", "error") // it was served before: something else went wrong, and it goes on
+	x.notice("EXIT", id(21)+" success 1", "C")
+	good.want("3", "done", "", "C")
+}
+
+// Connections that say nothing, or not all of a command, or nothing more, end; a full table gives up the
+// longest mute one for one that speaks, and never one that waits for an answer.
+func TestMuteConnectionsGiveWay(t *testing.T) {
+	x, h := serving(t) // the table has room for 64
+	busy := h.router()
+	busy.req(1, 1, "book-delivery", "", "a")
+	x.want("EXEC", id(1))
+	var mute []*routerPeer
+	for range 64 {
+		mute = append(mute, h.router())
+	}
+	last := h.router()
+	last.req(1, 2, "book-delivery", "", "b")
+	x.want("EXEC", id(2))
+	for _, p := range mute { // some by the full table, the rest by their time
+		if n, err := io.Copy(io.Discard, p.r); n > 0 || err != nil {
+			t.Fatalf("a mute connection got %d bytes, %v", n, err)
+		}
+	}
+	half := h.router()
+	half.send("HEALTH", "1")
+	half.want("1", "healthy")
+	io.WriteString(half.conn, "*3\r\n$3\r\nREQ\r\n")
+	if n, err := io.Copy(io.Discard, half.r); n > 0 || err != nil {
+		t.Errorf("half a command got %d bytes, %v", n, err)
+	}
+	for i, p := range []*routerPeer{busy, last} {
+		x.notice("EXIT", id(1+i)+" success 1", "A")
+		p.want("1", "done", "", "A")
+		p.want("0", "closing") // it asked once and stays
+		if n, err := io.Copy(io.Discard, p.r); n > 0 || err != nil {
+			t.Errorf("an idle connection got %d bytes, %v", n, err)
+		}
+	}
+}
