Leave a call out where no room for it is left; repeat a spoilt call of a safe request

The vault's mean call went from 10 to 240 ms; the time of calls reached what callRoom allows, and 63 of 65 runs stood at calls with 4 calls in hand while 1 to 7 of 6 cores had work. Refusals followed and credits fell to 0.35 of the room. At fault: call() in policy.go retried each 20 ms where patience is 0, although three of four classes may do without. returned() left out every call cut off, though a safe request may make it again.

--- a/policy/guard_test.go
+++ b/policy/guard_test.go
@@ -485,3 +485,33 @@
 	r.after(10*ms, CallReturned{ID: 1, Outcome: TimedOut, Took: 900 * ms}, Finished{ID: 1, Outcome: Cancelled})
 	r.want(starts(r.after(8*time.Second, gold(4))), "Start 4")
 }
+
+// A dependency that slowed took the room for calls: runs stood waiting for it while their class may do without.
+func TestNoRoomForACallLeavesItOut(t *testing.T) {
+	r := newRig(t, func(s *Settings) { sharedBelow(s); s.Classes[1].SkipWorth = 0.3 })
+	for i := range r.n.set.Classes {
+		if c := r.n.classes[i]; c.Name == "iron" {
+			c.SkipWorth = 0.3
+		}
+	}
+	r.do(gold(1), iron(2))
+	r.do(CallNeeded{1})
+	r.after(900*ms, iron(3))
+	r.want(r.after(ms, CallNeeded{3}), "Skip 3")
+}
+
+// A reply that came spoilt proves nothing: only what may run twice makes its call again, and once.
+func TestSpoiltCallIsMadeOnceMoreWhereThatIsSafe(t *testing.T) {
+	r := newRig(t, nil)
+	r.do(gold(1), iron(2))
+	r.after(10*ms, CallNeeded{1}, CallNeeded{2})
+	r.want(r.after(10*ms, CallReturned{ID: 1, Outcome: CutOff}, CallReturned{ID: 2, Outcome: CutOff}), "Fail 1")
+	var got []string
+	for range 20 {
+		got = append(got, r.after(10*ms)...)
+	}
+	if !has(got, "Call 2") {
+		t.Errorf("the call was not made again: %q", got)
+	}
+	r.want(r.after(10*ms, CallReturned{ID: 2, Outcome: CutOff}), "Skip 2")
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -853,6 +853,10 @@
 		return
 	}
 	patience := n.callRoom()
+	if patience == 0 && c.SkipWorth > 0 {
+		n.skip(r) // a part of the worth now, where the calls in hand leave no room for one more
+		return
+	}
 	if patience == 0 {
 		r.retryAt = n.now + gaugeEvery
 		n.watch(r)
@@ -953,6 +957,9 @@
 		return
 	}
 	unrun := e.Outcome == Full || e.Outcome == Unreached || e.Outcome == Moot
+	if e.Outcome == CutOff && n.classes[r.class].Safety == Safe {
+		unrun = r.tries == 1 // whatever ran may run again: one more try before the call is left out
+	}
 	wait := callBackoff << min(r.tries, 10)
 	wait += time.Duration(n.rng.Int64N(int64(callBackoff)))
 	switch {
