--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 
 	"puffinsaddle/policy"
 )
@@ -22,6 +23,37 @@
 	Body  []byte
 }
 
+// What the figures of a request may be at most.
+const (
+	mostKB   = 2000.0 // by the protocol
+	mostKey  = 256    // bytes; the protocol's keys have 16
+	mostWait = 600e3  // milliseconds that a caller may wait; classes have seconds
+	mostOld  = 60e3   // and that a request may have been under way
+	mostSoon = 1e3    // the caller's clock is the machine's, and can't be further ahead
+)
+
+// Check names the figure that makes no sense. What passes gets to the module's books, so what would spoil them
+// must not: one request said to be an hour old would make the server look slow to itself, one whose time never
+// runs out would be held for good.
+func (q *Request) Check(now float64) error {
+	within := func(x, least, most float64) bool { return x >= least && x <= most } // so that NaN is out
+	switch {
+	case !within(q.At, now-mostOld, now+mostSoon):
+		return errors.New("at is out of range")
+	case !within(q.Wait, 0, mostWait):
+		return errors.New("wait is out of range")
+	case !(q.KB > 0 && q.KB < mostKB):
+		return errors.New("kb is out of range")
+	case !(q.Rank >= 0 && q.Rank < 1):
+		return errors.New("rank is out of range")
+	case q.From < 0:
+		return errors.New("from is out of range")
+	case len(q.Key) > mostKey:
+		return errors.New("key is too long")
+	}
+	return nil
+}
+
 // Verdict is what became of a request, for its caller.
 type Verdict int
 
--- a/internal/net/fronts_test.go
+++ b/internal/net/fronts_test.go
@@ -133,6 +133,10 @@
 		{"a length that is none", "\x00\x14\x00\x00\x0e\x00CONTENT_LENGTH\x02\x00-1", false, h, 400},
 		{"too large", packet(strings.Repeat("x", 5000), "ORDER_CLASS", "book-delivery"), false, h, 400},
 		{"a faulty variable", packet("", "ORDER_CLASS", "book-delivery", "ORDER_WAIT", "soon"), false, h, 400},
+		{"no number", packet("", "ORDER_CLASS", "book-delivery", "ORDER_KB", "NaN"), false, h, 400},
+		{"out of range", packet("", "ORDER_CLASS", "book-delivery", "ORDER_KB", "2e6"), false, h, 400},
+		{"long ago", packet("", "ORDER_CLASS", "book-delivery", "ORDER_AT", "1"), false, h, 400},
+		{"no end of waiting", packet("", "ORDER_CLASS", "book-delivery", "ORDER_WAIT", "1e12"), false, h, 400},
 		{"half a packet and then nothing", whole[:20], false, slow, 408},
 	} {
 		if status, _, _ := c.h.gateway(c.bytes, c.end).answers(); status != c.want {
--- a/internal/net/respfront/codec.go
+++ b/internal/net/respfront/codec.go
@@ -13,12 +13,8 @@
 )
 
 const (
-	mostBody = 2 << 10 // bytes of a body, by the protocol
-	mostKB   = 2000.0  // memory booked for a request, by the protocol
-	mostKey  = 256     // bytes of a key; the protocol's have 16
-	mostWait = 600e3   // milliseconds that a router may wait; classes have seconds
-	mostOld  = 60e3    // and that a request may have been under way
-	mostSoon = 1e3     // its clock and ours are the machine's, and can't be further apart
+	mostBody   = 2 << 10 // bytes of a body, by the protocol
+	mostNumber = 1 << 53 // up to here a floating-point number tells whole ones apart
 )
 
 // errValue marks a request that can be read, and whose figures make no sense.
@@ -42,18 +38,16 @@
 	return f, nil
 }
 
-// number reads a figure that has to be there, from least to under most.
-func (f fields) number(key string, least, most float64, err *error) float64 {
+// number reads a figure of 0 or more that has to be there.
+func (f fields) number(key string, err *error) float64 {
 	x, e := strconv.ParseFloat(f[key], 64)
-	if !(e == nil && x >= least && x < most) && *err == nil { // so that NaN is out too
+	if !(e == nil && x >= 0 && x < mostNumber) && *err == nil { // so that NaN is out too
 		*err = fmt.Errorf("%w: field %q", errValue, key)
 	}
 	return x
 }
 
-// request reads REQ TAG CLASS FIELDS BODY. It keeps no part of the arguments but the body. What passes here
-// gets to the module's books, so a figure that would spoil them must not: one request said to be an hour old
-// would make the server look slow to itself, one that never runs out of time would be held for good.
+// request reads REQ TAG CLASS FIELDS BODY. It keeps no part of the arguments but the body.
 func request(args [][]byte, now float64) (*core.Request, error) {
 	if len(args) < 4 || len(args) > 5 {
 		return nil, errors.New("REQ takes a tag, a class, fields and a body")
@@ -63,19 +57,21 @@
 		return nil, fmt.Errorf("%w: %w", errValue, err)
 	}
 	q := &core.Request{
-		ID: strings.Clone(f["id"]), Class: string(args[2]), At: f.number("at", now-mostOld, now+mostSoon, &err),
-		From: int64(f.number("from", 0, 1<<53, &err)), Retry: f["retry"] == "1",
-		KB: f.number("kb", math.SmallestNonzeroFloat64, mostKB, &err), Rank: f.number("rank", 0, 1, &err), Key: strings.Clone(f["key"]),
+		ID: strings.Clone(f["id"]), Class: string(args[2]), At: f.number("at", &err), From: int64(f.number("from", &err)),
+		Retry: f["retry"] == "1", KB: f.number("kb", &err), Rank: f.number("rank", &err), Key: strings.Clone(f["key"]),
 	}
 	if _, told := f["wait"]; told {
-		q.Wait = f.number("wait", math.SmallestNonzeroFloat64, mostWait, &err)
+		if q.Wait = f.number("wait", &err); q.Wait == 0 && err == nil {
+			err = fmt.Errorf("%w: field %q", errValue, "wait")
+		}
+	}
+	if e := q.Check(now); e != nil && err == nil {
+		err = fmt.Errorf("%w: %w", errValue, e)
 	}
 	switch {
 	case err != nil:
 	case !wireID(q.ID):
 		err = fmt.Errorf(`%w: field "id" is not 16 hex digits`, errValue)
-	case len(q.Key) > mostKey:
-		err = fmt.Errorf("%w: the key is too long", errValue)
 	case len(args) == 5 && len(args[4]) > mostBody:
 		err = fmt.Errorf("%w: the body is too long", errValue)
 	}
--- a/internal/net/uwsgi/front.go
+++ b/internal/net/uwsgi/front.go
@@ -205,12 +205,15 @@
 			continue
 		}
 		x, err := strconv.ParseFloat(s, 64)
-		if err != nil || math.IsNaN(x) || math.IsInf(x, 0) || x < 0 {
+		if err != nil || !(x >= 0 && x < 1<<53) {
 			return nil, fmt.Errorf("%w: %s is not a number of 0 or more", errMalformed, n.name)
 		}
 		*n.to = x
 	}
 	q.From = int64(from)
+	if err := q.Check(reached); err != nil {
+		return nil, fmt.Errorf("%w: %w", errMalformed, err)
+	}
 	q.At = min(q.At, reached) // a gateway whose clock is ahead must not lengthen the wait
 	return q, nil
 }
