--- a/policy/guard_test.go
+++ b/policy/guard_test.go
@@ -515,3 +515,18 @@
 	}
 	r.want(r.after(10*ms, CallReturned{ID: 2, Outcome: CutOff}), "Skip 2")
 }
+
+// Replies that never came held the room for calls for half of the time left, so that others had none.
+func TestOptionalCallIsNotWaitedForLong(t *testing.T) {
+	r := newRig(t, nil)
+	r.do(iron(1))
+	r.now += 10 * ms
+	for _, a := range r.n.Handle(r.now, []Event{CallNeeded{1}}) {
+		if c, ok := a.(CallOut); ok && c.MaxWait > skipPatience*callBackoff {
+			t.Errorf("a call that may be left out is waited for %v", c.MaxWait)
+		} else if ok {
+			return
+		}
+	}
+	t.Error("no call")
+}
