--- a/policy/policy.go
+++ b/policy/policy.go
@@ -50,7 +50,7 @@
 	idleLeast     = time.Second           // else it closes so soon; a busier caller keeps his
 	breakSpan     = time.Second           // how long it stays open before one call tests it
 	belowPart     = 0.4                   // part of the told share of calls below that is used
-	skipPatience  = 8                     // a call that may be left out is waited for so many learned call times
+	skipPatience  = 8                     // an optional call is waited for so many learned call times
 	callPatience  = 4                     // a call below is made with room for so many learned call times
 )
 
