Take no unmarked try for a further one, and no want of calls below for want of cores

Looked at with a temporary line of the module's books each window. Two causes: - policy.go, arrive: a wait under 0.95 of the longest seen counted as a further try. The fleet was taken for short: further tries turned away, the hold not bounded, each refusal asking for no other server. Where the site marks further tries, the mark alone counts now. - From 8 s the vault takes ten times as long and answers full to a third. A single call that was to be made again (mayStart: calling == inHand) kept book-delivery, which can't do without its call, from every start; its requests then filled the hold (guardHold), so that the other classes were refused, 53 of 123 in one window; and their refusals kept the share to stay away at 0.65 for five seconds with 3 to 6 runs on the cores. A call that waits to be made again holds no start back now; a class with no room for calls has a hold of its own; what is refused for want of calls below is not told to callers as want of room here.

Ruled out: the room for calls itself (26.5 of 30 s used at the most), links to the executor, the reading of requests.

--- a/policy/guard_test.go
+++ b/policy/guard_test.go
@@ -530,3 +530,95 @@
 	}
 	t.Error("no call")
 }
+
+// A few clients more patient than the rest made each try of the others look like a further one, though the
+// site marks these: the fleet then seemed short, and refusals asked for no other server.
+func TestShortWaitIsNoFurtherTryWhereThoseAreMarked(t *testing.T) {
+	for _, marked := range []bool{false, true} {
+		r := newRig(t, func(s *Settings) { s.MarksRetry = marked })
+		full(r)
+		refused, last := 0, 0
+		for id := ID(10); id < 210; id++ {
+			a := iron(id)
+			a.Waited, a.Left = 100*ms, 1500*ms
+			if id%50 == 0 {
+				a.Left = 3000 * ms
+			}
+			r.now += 20 * ms
+			for _, act := range r.n.Handle(r.now, []Event{a, gauges(1, 2, 0)}) {
+				if no, ok := act.(Refuse); ok {
+					refused++
+					if no.NoRetry {
+						last++
+					}
+				}
+			}
+		}
+		if refused == 0 || (last == 0) != marked {
+			t.Errorf("marked %v: %d of %d refusals ask for no further try", marked, last, refused)
+		}
+	}
+}
+
+// blockedBelow leaves gold, which can't do without its call, with no room for one.
+func blockedBelow(t *testing.T) *rig {
+	r := newRig(t, func(s *Settings) {
+		sharedBelow(s)
+		s.Classes[0].Calls, s.Hint = false, HintWeight
+	})
+	r.do(gold(1))
+	r.do(CallNeeded{1})
+	r.after(900 * ms)
+	return r
+}
+
+// While what lies below was slow, the requests that must call it filled the hold, and all others were refused.
+func TestClassWithNoRoomForCallsLeavesTheHoldToOthers(t *testing.T) {
+	r := blockedBelow(t)
+	r.want(starts(r.do(iron(2), iron(3), gauges(1, 3, 0))), "Start 2", "Start 3")
+	var got []string
+	for id := ID(4); id < 8; id++ {
+		got = append(got, r.after(ms, gold(id), gauges(1, 3, 0))...)
+	}
+	got = append(got, r.after(ms, iron(8), iron(9), gauges(1, 3, 0))...)
+	if has(got, "Refuse 8") || has(got, "Refuse 9") {
+		t.Errorf("refused behind what can't run: %q", got)
+	}
+	refused := 0
+	for _, s := range got {
+		if strings.HasPrefix(s, "Refuse") {
+			refused++
+		}
+	}
+	if refused != 2 {
+		t.Errorf("%d of 4 refused that can't run now; the hold takes one a core: %q", refused, got)
+	}
+}
+
+// The same requests, refused unrun, had the callers told to stay away from idle cores.
+func TestWhatLiesBelowSendsNoCallersAway(t *testing.T) {
+	r := blockedBelow(t)
+	refused := 0
+	for id := ID(10); id < 110; id++ {
+		for _, s := range r.after(20*ms, gold(id), gauges(0, 1, 0)) {
+			if strings.HasPrefix(s, "Refuse") {
+				refused++
+			}
+			if strings.HasPrefix(s, "Advise") {
+				t.Fatalf("%s with idle cores", s)
+			}
+		}
+	}
+	if refused < 50 {
+		t.Errorf("%d of 100 refused", refused)
+	}
+}
+
+// One call that was to be tried again kept the whole class from its cores.
+func TestCallThatIsTriedAgainHoldsNoStartBack(t *testing.T) {
+	r := newRig(t, nil)
+	r.do(gold(1))
+	r.do(CallNeeded{1})
+	r.after(ms, CallReturned{ID: 1, Outcome: Full})
+	r.want(starts(r.after(ms, gold(2))), "Start 2")
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -193,7 +193,9 @@
 	n.recent.arrived++
 	n.recent.reading += float64(n.now - r.reached)
 	c.fullWait = max(c.fullWait, e.Left+max(e.Waited, 0))
-	if e.Resent || e.Left > 0 && float64(e.Left+max(e.Waited, 0)) < float64(c.fullWait)*fullWaitShare {
+	shorter := e.Left > 0 && float64(e.Left+max(e.Waited, 0)) < float64(c.fullWait)*fullWaitShare
+	// Where further tries are marked, a short wait proves nothing: guards against clients of unlike patience.
+	if e.Resent || shorter && !n.set.MarksRetry {
 		n.recent.resent++
 		r.again = true
 	}
@@ -342,7 +344,11 @@
 	if r.repeat || r.ran {
 		n.do(Fail{ID: r.ID})
 	} else {
-		n.classes[r.class].refused++
+		c := n.classes[r.class]
+		c.refused++
+		if r.state == calling || !n.mayStart(c) {
+			c.refusedBelow++
+		}
 		last := n.short() || n.retryShare > retriesMost && n.shed > shedMost/2 ||
 			n.retryShare > retriesMany && n.now > n.latestStart(r, doubtMargin)
 		n.do(Refuse{ID: r.ID, Pause: n.comeBack(), NoRetry: last})
@@ -548,13 +554,14 @@
 	n.retune()
 	seen, refused := 0, 0
 	for _, c := range n.classes {
-		seen, refused = seen+c.seen, refused+c.refused
+		// What lies below turned away tells nothing of room here: guards against callers sent off idle cores.
+		seen, refused = seen+c.seen, refused+c.refused-c.refusedBelow
 		if c.ended == 0 && c.refused > 0 {
 			// Guards against an estimate that refuses everything and so is never corrected: a
 			// spell of slow cores, a pause, a dead tier below.
 			c.run *= forgetRate
 		}
-		c.seen, c.refused, c.ended = 0, 0, 0
+		c.seen, c.refused, c.refusedBelow, c.ended = 0, 0, 0, 0
 	}
 	t := n.recent
 	n.retryShare = t.resent / max(t.arrived, 1)
@@ -821,9 +828,23 @@
 // guardHold bounds the hold: a request for each core, the next to run. Guards against refusals
 // that come too late for another server to help: a skewed spread, a slow machine, a burst. While
 // the fleet is short an early refusal would only be read elsewhere, so the hold is not bounded then.
+//
+// A class that can't make its calls now has a hold of its own, lest it fill that of the others.
 func (n *Instance) guardHold() {
-	for i := len(n.classes) - 1; i >= 0 && !n.short(); i-- {
-		n.dropLeaves(n.classes[i], func() bool { return n.held <= n.set.Cores })
+	if n.short() {
+		return
+	}
+	blocked := 0
+	for _, c := range n.classes {
+		if !n.mayStart(c) {
+			n.dropLeaves(c, func() bool { return c.queue.len() <= n.set.Cores })
+			blocked += c.queue.len()
+		}
+	}
+	for i := len(n.classes) - 1; i >= 0; i-- {
+		if n.mayStart(n.classes[i]) {
+			n.dropLeaves(n.classes[i], func() bool { return n.held-blocked <= n.set.Cores })
+		}
 	}
 }
 
@@ -921,7 +942,7 @@
 // mayStart tells whether a run of the class could make its calls now: one that can't would hold memory
 // and a place for nothing.
 func (n *Instance) mayStart(c *class) bool {
-	return !c.Calls || c.SkipWorth > 0 || n.calling == n.inHand && n.now >= n.breakEnd && n.callRoom() > 0
+	return !c.Calls || c.SkipWorth > 0 || n.now >= n.breakEnd && n.callRoom() > 0
 }
 
 func (n *Instance) skip(r *request) {
--- a/policy/state.go
+++ b/policy/state.go
@@ -54,18 +54,19 @@
 
 type class struct {
 	Class
-	queue     orderedHeap[*request]
-	allowance int
-	used      int
-	seen      int     // requests of this window
-	refused   int     // of these, refused
-	ended     int     // runs that ended in this window
-	run       float64 // learned mean run, waits and calls included
-	size      float64 // learned mean size
-	sizeVar   float64 // spread of the sizes told, and how the runs vary with them
-	sizeRun   float64
-	samples   int
-	fullWait  time.Duration // the longest wait that came with a request: a first try's
+	queue        orderedHeap[*request]
+	allowance    int
+	used         int
+	seen         int     // requests of this window
+	refused      int     // of these, refused
+	refusedBelow int     // of the refused, for want of calls below
+	ended        int     // runs that ended in this window
+	run          float64 // learned mean run, waits and calls included
+	size         float64 // learned mean size
+	sizeVar      float64 // spread of the sizes told, and how the runs vary with them
+	sizeRun      float64
+	samples      int
+	fullWait     time.Duration // the longest wait that came with a request: a first try's
 }
 
 // traffic counts what came and ran of late, earlier windows for less.
