Count calls below exactly over the rule's span and let them use four fifths of the share

A line of the module's books each window: all of these calls were left out at call() for want of room. callTime stood at 26.5 of 26.66 s, most of it the Linger of calls that were never answered (some 10 a window of half a second and node). callTime faded over the span (countCalls), which bounds the sum over a span only within a factor of about two, so belowPart allowed 0.4 of the told share alone.

Now the time is kept in 21 parts of a twentieth of the span, and calls in hand count as if given up at their end, Linger included, so that the sum over any span stays within the part allowed, which is 0.8.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -49,8 +49,9 @@
 	gapMost       = 5 * time.Second       // a caller's mean gap up to which its connection is worth its keep
 	idleLeast     = time.Second           // else it closes so soon; a busier caller keeps his
 	breakSpan     = time.Second           // how long it stays open before one call tests it
-	belowPart     = 0.4                   // part of the told share of calls below that is used
+	belowPart     = 0.8                   // part of the told share of calls below that is used
 	skipPatience  = 8                     // an optional call is waited for so many learned call times
+	callParts     = 21                    // parts in which their time is kept, one more than fill the span
 	callPatience  = 4                     // a call below is made with room for so many learned call times
 )
 
@@ -895,15 +896,16 @@
 		n.breakEnd = n.now + breakSpan // this call is the test
 	}
 	r.tries++
-	r.out = true
+	r.out, r.callEnd = true, n.now-n.born+min(left, patience)
 	n.inHand++
+	n.callEnds += r.callEnd
 	n.do(CallOut{ID: r.ID, MaxWait: min(left, patience)})
 }
 
 // callRoom is how long one more call below may take; 0: there is no room for one. Guards what all servers
-// share against more calls in hand than it survives, whatever piles them up: slowness, cold servers, a
-// crowd. Calls count by their time, which fades over the span of the rule: a burst from rest stays under
-// twice the part of the told share that is used. Harmful where others leave their shares unused.
+// share against more calls in hand than it survives, whatever piles them up: slowness, silence, cold servers,
+// a crowd. Calls count by their time in the span of the rule, those in hand as if each were given up at its
+// end: their time never passes the part of the told share. Harmful where others leave their shares unused.
 func (n *Instance) callRoom() time.Duration {
 	span := float64(n.set.CallSpan)
 	if n.set.BelowShare <= 0 || span <= 0 {
@@ -911,19 +913,33 @@
 	}
 	n.countCalls()
 	most := belowPart * n.set.BelowShare * span
-	wait := (most - n.callTime) / float64(n.inHand+1)
+	owed := float64(n.callEnds) - float64(n.inHand)*float64(n.now-n.born)
+	wait := most - n.callTime - max(owed, 0) - float64(n.inHand+1)*float64(n.set.Linger)
 	if wait < min(callPatience*n.callRun, most/2) {
 		return 0
 	}
 	return time.Duration(wait)
 }
 
-// countCalls brings the time of calls in hand up to date.
+// countCalls brings the time of calls in hand up to date: the sum over the parts of the rule's span, of which
+// the oldest goes when the clock reaches a new one.
 func (n *Instance) countCalls() {
-	span := max(float64(n.set.CallSpan), 1)
-	fade := math.Exp(-float64(n.now-n.callsAt) / span)
-	n.callTime = n.callTime*fade + float64(n.inHand)*span*(1-fade)
-	n.callsAt = n.now
+	part := max(n.set.CallSpan/(callParts-1), 1)
+	if n.now-n.callsAt > n.set.CallSpan+part {
+		n.callsAt = n.now - n.set.CallSpan - part // what is older has left the span
+	}
+	for n.callsAt < n.now {
+		i := n.callsAt / part
+		end := min((i+1)*part, n.now)
+		n.callPast[i%callParts] += float64(n.inHand) * float64(end-n.callsAt)
+		if n.callsAt = end; end == (i+1)*part {
+			n.callPast[(i+1)%callParts] = 0
+		}
+	}
+	n.callTime = 0
+	for _, t := range n.callPast {
+		n.callTime += t
+	}
 }
 
 // callOver books a call that is no longer waited for; one given up lingers below.
@@ -933,9 +949,11 @@
 	}
 	n.countCalls()
 	if lingers {
-		n.callTime += float64(n.set.Linger)
+		part := max(n.set.CallSpan/(callParts-1), 1)
+		n.callPast[n.now/part%callParts] += float64(n.set.Linger)
 	}
 	r.out = false
+	n.callEnds -= r.callEnd
 	n.inHand--
 }
 
--- a/policy/state.go
+++ b/policy/state.go
@@ -35,12 +35,13 @@
 	good     bool          // its run ended well
 	again    bool          // a further try, known or taken for one
 	ended    time.Duration
-	first    *request   // the one it repeats, where that is known
-	heir     *request   // the newer try that took its place
-	lead     *request   // the one it follows
-	tail     []*request // those that follow it
-	tries    int        // calls made for the present need
-	out      bool       // its call is in hand below
+	first    *request      // the one it repeats, where that is known
+	heir     *request      // the newer try that took its place
+	lead     *request      // the one it follows
+	tail     []*request    // those that follow it
+	tries    int           // calls made for the present need
+	out      bool          // its call is in hand below
+	callEnd  time.Duration // when the call out is given up, from the start of the instance
 	retryAt  time.Duration
 }
 
@@ -122,8 +123,10 @@
 
 	inHand   int           // calls out now
 	callRun  float64       // learned mean time of a call
-	callTime float64       // time of calls in hand, fading over the span of the rule
+	callEnds time.Duration // sum of the ends of these calls, from the instance's start
+	callTime float64       // time of calls in hand over the span of the rule
 	callsAt  time.Duration // when that was reckoned
+	callPast [callParts]float64
 
 	callFails int // in a row
 	breakEnd  time.Duration
