Leave the room of a full vault to the calls that can't be left out

A line of the module's books each window showed as many tries again of optional calls as of the others. returned() gave each optional call one more try after Full, and the others callTries = 4, waits doubling to 480 ms. Now an optional call is left out when the vault is full; the others have eight tries, at most 120 to 150 ms apart.

--- a/policy/guard_test.go
+++ b/policy/guard_test.go
@@ -634,3 +634,22 @@
 		r.now += 40 * ms
 	}
 }
+
+// While the vault had room for half of the calls, tries again of those that may be left out took it from the
+// others, which gave up after four.
+func TestFullBelowGivesItsRoomToThoseThatCannotDoWithout(t *testing.T) {
+	r := newRig(t, nil)
+	r.do(gold(1), iron(2))
+	r.want(r.after(10*ms, CallNeeded{1}, CallNeeded{2}), "Call 1", "Call 2")
+	r.want(r.after(ms, CallReturned{ID: 2, Outcome: Full}, CallReturned{ID: 1, Outcome: Full}), "Skip 2")
+	calls := 0
+	for range 80 { // 800 ms of an aim of a second
+		if has(r.after(10*ms), "Call 1") {
+			calls++
+			r.do(CallReturned{ID: 1, Outcome: Full})
+		}
+	}
+	if calls < 5 {
+		t.Errorf("%d more calls within the time for them", calls)
+	}
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -29,7 +29,7 @@
 	lateMargin    = 1.0                   // hopeless: less time left than this many estimated runs
 	doubtMargin   = 2.5                   // doubtful: less than this many; gives way where others wait
 	stopMargin    = 60 * time.Millisecond // all is answered so long before the process is stopped
-	callTries     = 4                     // a call proven unrun is made so many times at most
+	callTries     = 8                     // a call proven unrun is made so many times at most
 	callBackoff   = 30 * time.Millisecond // first wait between such tries; doubles
 	pauseShare    = 0.25                  // longest advice to stay away, as a part of what is heeded
 	pauseLeast    = 20 * time.Millisecond // shortest such advice: by then a few runs have ended
@@ -997,10 +997,13 @@
 		return
 	}
 	unrun := e.Outcome == Full || e.Outcome == Unreached || e.Outcome == Moot
+	if e.Outcome == Full && n.classes[r.class].SkipWorth > 0 {
+		unrun = false // the room below goes to those that can't do without
+	}
 	if e.Outcome == CutOff && n.classes[r.class].Safety == Safe {
 		unrun = r.tries == 1 // whatever ran may run again: one more try before the call is left out
 	}
-	wait := callBackoff << min(r.tries, 10)
+	wait := callBackoff << min(r.tries, 2)
 	wait += time.Duration(n.rng.Int64N(int64(callBackoff)))
 	switch {
 	case unrun && r.tries < callTries && n.now+wait < n.profitEnd(r):
