--- a/policy/policy.go
+++ b/policy/policy.go
@@ -616,6 +616,9 @@
 		shed = min(1-(1-shed)*(1-shedGain*drop), shedMost)
 	} else {
 		shed = max(shed-shedBack, 0)
+		if n.held == 0 && n.running < n.set.Cores {
+			shed /= 2
+		}
 	}
 	if shed == n.shed {
 		return
