--- a/policy/policy.go
+++ b/policy/policy.go
@@ -847,7 +847,7 @@
 	}
 	for i := len(n.classes) - 1; i >= 0; i-- {
 		if n.mayStart(n.classes[i]) {
-			n.dropLeaves(n.classes[i], func() bool { return n.held-blocked <= n.set.Cores })
+			n.dropLeaves(n.classes[i], func() bool { return float64(n.held-blocked) <= float64(n.set.Cores)*(1+min(n.retryShare/0.15, 1)) })
 		}
 	}
 }
