Hold three requests for two cores and bring callers back sooner after a burst

Lines at fault, by a line of the module's books each window: guardHold refused what was over one request a core though all servers had the same burst, so that next to no refused request found room elsewhere (1.00 attempts a request); advise fell to 6 requests a router at any share to stay away, and let back 0.05 a window.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -39,7 +39,8 @@
 	shedAbove     = 0.05                  // refused share from which callers are told to send less
 	shedGain      = 0.5                   // part of the refused share that is shed more in a window
 	shedBack      = 0.05                  // share that is let back in a window without refusals
-	creditPerCore = 4.0                   // requests a core that callers have here while they shed
+	holdPerCore   = 1.5                   // requests held for each core
+	creditPerCore = 6.0                   // requests a core that callers have here while they shed
 	shedMost      = 0.65                  // some traffic always comes, or nothing would be learned
 	fullWaitShare = 0.95                  // a told wait under this part of the fullest is a further try's
 	retriesMany   = 0.2                   // share of further tries that shows the fleet short
@@ -617,7 +618,7 @@
 	} else {
 		shed = max(shed-shedBack, 0)
 		if n.held == 0 && n.running < n.set.Cores {
-			shed /= 2
+			shed /= 2 // guards against callers sent off idle cores for seconds after a burst
 		}
 	}
 	if shed == n.shed {
@@ -829,8 +830,9 @@
 	}
 }
 
-// guardHold bounds the hold: a request for each core, the next to run. Guards against refusals
-// that come too late for another server to help: a skewed spread, a slow machine, a burst. While
+// guardHold bounds the hold: three requests for each two cores, the next to run. Guards against refusals
+// that come too late for another server to help: a skewed spread, a slow machine, a burst. A smaller hold
+// refuses in bursts of half a second that reach all servers, where no other has room either. While
 // the fleet is short an early refusal would only be read elsewhere, so the hold is not bounded then.
 //
 // A class that can't make its calls now has a hold of its own, lest it fill that of the others.
@@ -838,16 +840,16 @@
 	if n.short() {
 		return
 	}
-	blocked := 0
+	blocked, most := 0, holdPerCore*float64(n.set.Cores)
 	for _, c := range n.classes {
 		if !n.mayStart(c) {
-			n.dropLeaves(c, func() bool { return c.queue.len() <= n.set.Cores })
+			n.dropLeaves(c, func() bool { return float64(c.queue.len()) <= most })
 			blocked += c.queue.len()
 		}
 	}
 	for i := len(n.classes) - 1; i >= 0; i-- {
 		if n.mayStart(n.classes[i]) {
-			n.dropLeaves(n.classes[i], func() bool { return float64(n.held-blocked) <= float64(n.set.Cores)*(1+min(n.retryShare/0.15, 1)) })
+			n.dropLeaves(n.classes[i], func() bool { return float64(n.held-blocked) <= most })
 		}
 	}
 }
