Leave optional calls out while one that can't be left out finds the vault full

call() gave an optional call its one try whatever the others met. Now a Full for a call that can't be left out leaves optional ones out until that call has been tried again and had its time (needyEnd).

--- a/policy/guard_test.go
+++ b/policy/guard_test.go
@@ -653,3 +653,15 @@
 		t.Errorf("%d more calls within the time for them", calls)
 	}
 }
+
+// Each optional call that found room in a vault nearly full kept out one that can't be left out.
+func TestOptionalCallsWaitOutANeedyOneAtAFullVault(t *testing.T) {
+	r := newRig(t, nil)
+	r.do(gold(1), iron(2))
+	r.want(r.after(10*ms, CallNeeded{1}), "Call 1")
+	r.want(r.after(ms, CallReturned{ID: 1, Outcome: Full}))
+	r.want(r.after(10*ms, CallNeeded{2}), "Skip 2")
+	r.want(r.after(300*ms, iron(3)), "Call 1", "Start 3")
+	r.do(CallReturned{ID: 1, Outcome: OK})
+	r.want(r.after(10*ms, CallNeeded{3}), "Call 3")
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -891,7 +891,7 @@
 		return
 	}
 	if c.SkipWorth > 0 {
-		if n.now < n.breakEnd || r.tries > 1 {
+		if n.now < max(n.breakEnd, n.needyEnd) || r.tries > 1 {
 			n.skip(r)
 			return
 		}
@@ -1014,6 +1014,9 @@
 	case unrun && r.tries < callTries && n.now+wait < n.profitEnd(r):
 		r.retryAt = n.now + wait
 		n.watch(r)
+		if e.Outcome == Full {
+			n.needyEnd = n.now + 2*wait // a call that can't be left out finds no room: the others leave it theirs
+		}
 	case n.classes[r.class].SkipWorth > 0:
 		n.skip(r)
 	default:
--- a/policy/state.go
+++ b/policy/state.go
@@ -130,4 +130,5 @@
 
 	callFails int // in a row
 	breakEnd  time.Duration
+	needyEnd  time.Duration // until when optional calls are left out for those that can't be
 }
