--- a/policy/policy.go
+++ b/policy/policy.go
@@ -1015,7 +1015,7 @@
 		r.retryAt = n.now + wait
 		n.watch(r)
 		if e.Outcome == Full {
-			n.needyEnd = n.now + 2*wait // a call that can't be left out finds no room: the others leave it theirs
+			n.needyEnd = n.now + 2*wait // it can't be left out and found no room: the others leave it theirs
 		}
 	case n.classes[r.class].SkipWorth > 0:
 		n.skip(r)
