Make a link to the executor anew that brings nothing for three seconds

Seen in the code, read beside PROTOCOL: executor.read waited for the next notice without limit, so a peer that was gone with nothing to tell of it (no FIN, no reset) left the server without starts, gauges and checks for good.

The module asks for the gauges twice a second at least, so a living link brings something. After WELCOME each read has 3 s; before it none, since an executor that boots may take its time. Runs, notice numbers and commands of unknown fate go on as after any break.

--- a/internal/net/executor/executor.go
+++ b/internal/net/executor/executor.go
@@ -29,10 +29,13 @@
 	mostPayload = 1 << 20         // bytes of a result or a call's body; the protocol has 4 KiB
 	mostWaiting = 4 << 20         // bytes of commands that wait for a slow executor; past this the link is made anew
 	mostAsked   = 64              // gauges and checks asked for at once
+	silentFor   = 3 * time.Second // the module reads the gauges twice a second; a link that brings nothing so long is dead
 )
 
 // Link is the link to the executor, made anew whenever it breaks.
 type Link struct {
+	Silent time.Duration // a link that brings nothing for so long after its WELCOME is made anew; set before Run
+
 	log  zerolog.Logger
 	up   func(cold bool, ageMs float64)
 	kick chan struct{}
@@ -60,7 +63,7 @@
 
 // New makes a link; up is called at each WELCOME.
 func New(address string, log zerolog.Logger, up func(cold bool, ageMs float64)) *Link {
-	return &Link{address: address, leave: func() {}, log: log, up: up, kick: make(chan struct{}, 1), runs: map[string]*run{},
+	return &Link{Silent: silentFor, address: address, leave: func() {}, log: log, up: up, kick: make(chan struct{}, 1), runs: map[string]*run{},
 		meters: map[string]func([]float64){}, checks: map[string]func(bool){}}
 }
 
@@ -116,7 +119,7 @@
 	}()
 	go l.write(conn, done)
 	l.wake()
-	return l.read(bufio.NewReaderSize(conn, 64<<10))
+	return l.read(conn)
 }
 
 func (l *Link) wake() {
@@ -235,8 +238,14 @@
 }
 
 // read takes notices until the link ends or breaks the protocol.
-func (l *Link) read(r *bufio.Reader) error {
+func (l *Link) read(conn net.Conn) error {
+	r, welcomed := bufio.NewReaderSize(conn, 64<<10), false
 	for {
+		if welcomed { // guards against a peer that is gone with nothing to tell of it; one that boots may take its time
+			if err := conn.SetReadDeadline(time.Now().Add(l.Silent)); err != nil {
+				return err
+			}
+		}
 		line, err := r.ReadSlice('\n')
 		if err != nil {
 			return err
@@ -266,6 +275,7 @@
 		if err := l.notice(words, body); err != nil {
 			return fmt.Errorf("%w: %q", err, words)
 		}
+		welcomed = welcomed || words[0] == "WELCOME"
 	}
 }
 
--- a/internal/net/peers_test.go
+++ b/internal/net/peers_test.go
@@ -83,9 +83,13 @@
 }
 
 // withExecutor builds a house that has a scripted executor.
-func withExecutor(t *testing.T, x *executorPeer, vaultAt string) *house {
+func withExecutor(t *testing.T, x *executorPeer, vaultAt string, change ...func(*executor.Link)) *house {
 	var c *core.Core
 	link := executor.New(x.ln.Addr().String(), zerolog.Nop(), func(cold bool, _ float64) { c.Up(cold) })
+	link.Silent = time.Hour // the script answers only while a test asks it to
+	for _, c := range change {
+		c(link)
+	}
 	calls := vault.New(vaultAt, clock.System())
 	h := build(t, link, calls, config.UWSGI{}, func(made *core.Core) { c = made })
 	h.link, h.vault = link, calls
--- a/internal/net/stories_test.go
+++ b/internal/net/stories_test.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"puffinsaddle/internal/clock"
+	"puffinsaddle/internal/net/executor"
 	"puffinsaddle/internal/net/vault"
 	"puffinsaddle/policy"
 )
@@ -81,6 +82,32 @@
 	p.want("3", "done", "", "C")
 }
 
+// The executor's machine is gone, and its end of the link says nothing of it: the link is made anew, and what had no
+// notice is sent again.
+func TestSilentLinkIsMadeAnew(t *testing.T) {
+	x := newExecutor(t)
+	h := withExecutor(t, x, "127.0.0.1:1", func(l *executor.Link) { l.Silent = 2 * time.Second })
+	x.welcome(0)
+	x.pass()
+	p := h.router()
+	p.req(1, 1, "book-delivery", "", "a")
+	x.want("EXEC", id(1))
+	late := time.After(patience)
+	for joined := false; !joined; { // nothing is answered on this link any more
+		select {
+		case c := <-x.cmds:
+			joined = c.words[0] == "JOIN"
+		case <-late:
+			t.Fatal("the silent link stands")
+		}
+	}
+	x.say("WELCOME steady 5")
+	x.pass()
+	x.want("EXEC", id(1))
+	x.notice("EXIT", id(1)+" success 1", "A")
+	p.want("1", "done", "", "A")
+}
+
 // The due time passes while the work goes on: the answer does not wait for it, nor does the work's end bring
 // a second one.
 func TestOverdueIsAnsweredBeforeTheRunEnds(t *testing.T) {
