--- a/policy/guard_test.go
+++ b/policy/guard_test.go
@@ -665,3 +665,12 @@
 	r.do(CallReturned{ID: 1, Outcome: OK})
 	r.want(r.after(10*ms, CallNeeded{3}), "Call 3")
 }
+
+// A share smaller than the time for which a call given up lingers allowed no call at all.
+func TestTinyShareAllowsCalls(t *testing.T) {
+	tiny := func(s *Settings) { sharedBelow(s); s.BelowShare = 0.05 }
+	quick := func(time.Duration) time.Duration { return 10 * ms }
+	if most, served := mostBelow(t, tiny, quick); most > 0.05 || served < 8 {
+		t.Errorf("%.3f calls in hand, %d served in a minute", most, served)
+	}
+}
