--- a/policy/policy.go
+++ b/policy/policy.go
@@ -921,7 +921,7 @@
 	owed := float64(n.callEnds) - float64(n.inHand)*float64(n.now-n.born)
 	wait := most - n.callTime - max(owed, 0) - float64(n.inHand+1)*float64(n.set.Linger)
 	if n.inHand == 0 {
-		wait = max(wait, most/2-n.callTime) // guards against a share too small for the time that a call lingers
+		wait = max(wait, most/2-n.callTime) // guards against a share under the time a call lingers
 	}
 	if wait < min(callPatience*n.callRun, most/4) {
 		return 0
