--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -22,6 +22,8 @@
 	defaultStopMs   = 3000.0
 
 	spareSockets = 64 // descriptors for the executor, the vault, logs and the rest
+
+	operatorFile = "PUFFINSADDLE_OPERATOR" // names the operator's file
 )
 
 // Config is all that the program is told.
@@ -61,7 +63,9 @@
 	if v := getenv("RELAY_LISTEN"); v != "" {
 		c.Listen = v
 	}
-	if v := getenv("RELAY_OPERATOR"); v != "" {
+	// Not under the platform's prefix: it may name a variable of its own so, with something else in it, and a
+	// program that takes that for its file's path never starts.
+	if v := getenv(operatorFile); v != "" {
 		if c.Operator, err = LoadOperator(v); err != nil {
 			return nil, err
 		}
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -17,8 +17,8 @@
 	vars := map[string]string{"RELAY_CONFIG": filepath.Join(t.TempDir(), "config.json")}
 	os.WriteFile(vars["RELAY_CONFIG"], []byte(text), 0o600)
 	if operator != "" {
-		vars["RELAY_OPERATOR"] = filepath.Join(t.TempDir(), "operator.yaml")
-		os.WriteFile(vars["RELAY_OPERATOR"], []byte(operator), 0o600)
+		vars["PUFFINSADDLE_OPERATOR"] = filepath.Join(t.TempDir(), "operator.yaml")
+		os.WriteFile(vars["PUFFINSADDLE_OPERATOR"], []byte(operator), 0o600)
 	}
 	for k, v := range env {
 		vars[k] = v
@@ -43,6 +43,13 @@
 	}
 }
 
+// The platform has a variable of that name, with an address in it; it is not our file.
+func TestPlatformVariablesAreNotTakenForOurs(t *testing.T) {
+	if _, err := load(t, good, "", map[string]string{"RELAY_OPERATOR": "127.0.0.1:19000"}); err != nil {
+		t.Error(err)
+	}
+}
+
 func TestFaultyKeysAreNamed(t *testing.T) {
 	for _, c := range []struct{ old, new, operator, want string }{
 		{`"name":"n3",`, "", "", `"name" is missing`},
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -48,7 +48,7 @@
 func LoadOperator(path string) (Operator, error) {
 	text, err := os.ReadFile(path)
 	if err != nil {
-		return Operator{}, fmt.Errorf("RELAY_OPERATOR: %w", err)
+		return Operator{}, fmt.Errorf("%s: %w", operatorFile, err)
 	}
 	o, err := ParseOperator(text)
 	if err != nil {
