Give operators an address: readiness, figures, drain and resume

Ruled out: the module's Health (its log had no change of state) and the health connection (it was answered in time). Now: internal/net/operator answers from what is at hand. Drain overrides what checks hear and nothing else, so that what comes gets its usual answer. Answers are counted in Life.answer before they are given, runs where they are handed over; only classes of the settings have counts, so made-up names take no memory. Not done: telling the module DrainNotice, which is for an end of the process and can't be taken back.

--- a/cmd/puffinsaddle/main.go
+++ b/cmd/puffinsaddle/main.go
@@ -12,6 +12,7 @@
 	"runtime"
 	"runtime/debug"
 	"slices"
+	"sync"
 	"syscall"
 
 	"github.com/rs/zerolog"
@@ -22,6 +23,7 @@
 	"puffinsaddle/internal/inventory"
 	"puffinsaddle/internal/net/executor"
 	"puffinsaddle/internal/net/members"
+	"puffinsaddle/internal/net/operator"
 	"puffinsaddle/internal/net/respfront"
 	"puffinsaddle/internal/net/uwsgi"
 	"puffinsaddle/internal/net/vault"
@@ -95,6 +97,25 @@
 	if err != nil {
 		return err
 	}
+	applied, rejected := 0, 0
+	var files sync.Mutex
+	if cfg.OperatorListen != "" {
+		ops, err := operator.Listen(cfg.OperatorListen, config.OperatorConns, operator.Calls{Ready: c.Ready, Drain: c.Away, Figures: func() any {
+			files.Lock()
+			defer files.Unlock()
+			return struct {
+				core.Figures
+				Applied  int `json:"config_applied"`
+				Rejected int `json:"config_rejected"`
+			}{c.Figures(), applied, rejected}
+		}}, log)
+		if err != nil {
+			return err
+		}
+		log.Info().Stringer("at", ops.Addr()).Msg("serving operators")
+		go func() { note(log, ops.Serve()) }()
+		defer ops.Close(ctx)
+	}
 	go c.Run()
 	if link != nil {
 		go link.Run(ctx)
@@ -111,13 +132,20 @@
 		case s := <-signals:
 			switch {
 			case s == syscall.SIGHUP: // also during a drain: open runs need the new addresses until their end
-				reload(load, log, func(now *config.Config) {
+				ok := reload(load, log, func(now *config.Config) {
 					if link != nil && now.Executor != "" {
 						link.Move(now.Executor)
 					}
 					calls.Move(now.Vault)
 					reporter.Move(now.Members)
 				})
+				files.Lock()
+				if ok {
+					applied++
+				} else {
+					rejected++
+				}
+				files.Unlock()
 			case !draining:
 				draining = true
 				log.Info().Float64("stop_ms", cfg.StopMs).Msg("draining")
@@ -138,14 +166,15 @@
 
 // reload reads the configuration again and hands it on; a faulty one changes nothing. What is not an address
 // of a peer needs a restart.
-func reload(load func() (*config.Config, error), log zerolog.Logger, use func(*config.Config)) {
+func reload(load func() (*config.Config, error), log zerolog.Logger, use func(*config.Config)) bool {
 	now, err := load()
 	if err != nil {
 		log.Error().Err(err).Msg("configuration not taken; the old one stays in force")
-		return
+		return false
 	}
 	log.Info().Str("executor", now.Executor).Str("vault", now.Vault).Str("members", now.Members).Msg("configuration read again")
 	use(now)
+	return true
 }
 
 // listen opens the fronts that the configuration names.
@@ -218,9 +247,9 @@
 	return s, nil
 }
 
-// note logs a write to the store that failed; serving goes on without it.
+// note logs what failed beside the serving, which goes on without it.
 func note(log zerolog.Logger, err error) {
 	if err != nil {
-		log.Warn().Err(err).Msg("store")
+		log.Warn().Err(err).Msg("beside the serving")
 	}
 }
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -23,6 +23,8 @@
 
 	spareSockets = 64 // descriptors for the executor, the vault, logs and the rest
 
+	OperatorConns = 16 // calls of operators open at once
+
 	operatorFile = "PUFFINSADDLE_OPERATOR" // names the operator's file
 )
 
@@ -40,6 +42,8 @@
 	Sockets  int
 	Settings policy.Settings
 	Operator Operator
+
+	OperatorListen string // where operators call; empty: nowhere
 }
 
 // Load reads the configuration that the environment names.
@@ -63,6 +67,9 @@
 	if v := getenv("RELAY_LISTEN"); v != "" {
 		c.Listen = v
 	}
+	if v := getenv("RELAY_OPERATOR"); v != "" {
+		c.OperatorListen = v
+	}
 	// Not under the platform's prefix: it may name a variable of its own so, with something else in it, and a
 	// program that takes that for its file's path never starts.
 	if v := getenv(operatorFile); v != "" {
@@ -85,7 +92,7 @@
 	f := &Fields{V: v, What: "config"}
 	f.Need("settings")
 	c := &Config{
-		Name: f.Text("name"), Listen: f.Text("listen"), Executor: f.Text("executor"), Members: f.Text("members"),
+		Name: f.Text("name"), Listen: f.Text("listen"), Executor: f.Text("executor"), Members: f.Text("members"), OperatorListen: f.Text("operator"),
 		Vault: f.Text("vault"), StopMs: f.Number("stop_ms"), Cores: defaultCores, MemoryMB: defaultMemoryMB, Sockets: defaultSockets,
 	}
 	if f.Get("stop_ms") == nil {
@@ -124,6 +131,9 @@
 // RouterSockets is how many descriptors connections of routers may use.
 func (c *Config) RouterSockets() int {
 	most := c.Sockets - min(spareSockets, c.Sockets/4)
+	if c.OperatorListen != "" {
+		most -= OperatorConns + 1
+	}
 	if c.Operator.UWSGI.Listen != "" {
 		most -= 2 * c.Operator.UWSGI.Conns
 	}
@@ -134,7 +144,7 @@
 	if c.Name == "" {
 		return errors.New(`config: "name" is missing`)
 	}
-	addresses := []struct{ key, at string }{{"listen", c.Listen}, {"members", c.Members}, {"vault", c.Vault}, {"executor", c.Executor}}
+	addresses := []struct{ key, at string }{{"listen", c.Listen}, {"members", c.Members}, {"vault", c.Vault}, {"executor", c.Executor}, {"operator", c.OperatorListen}}
 	for _, a := range addresses {
 		if a.at == "" {
 			if a.key == "listen" && c.Operator.UWSGI.Listen == "" || a.key == "executor" && len(c.Operator.UWSGI.Servers) == 0 && c.Operator.Inventory.Group == "" {
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -45,8 +45,9 @@
 
 // The platform has a variable of that name, with an address in it; it is not our file.
 func TestPlatformVariablesAreNotTakenForOurs(t *testing.T) {
-	if _, err := load(t, good, "", map[string]string{"RELAY_OPERATOR": "127.0.0.1:19000"}); err != nil {
-		t.Error(err)
+	c, err := load(t, good, "", map[string]string{"RELAY_OPERATOR": "127.0.0.1:19000"})
+	if err != nil || c.OperatorListen != "127.0.0.1:19000" {
+		t.Errorf("read %+v, %v", c, err)
 	}
 }
 
@@ -55,6 +56,7 @@
 		{`"name":"n3",`, "", "", `"name" is missing`},
 		{`"listen":"127.0.0.1:5050",`, "", "", `"listen" is missing`},
 		{`"executor":"127.0.0.2:7300"`, `"executor":"x"`, "", `"executor" is not an address`},
+		{`"name":"n3"`, `"name":"n3","operator":"x"`, "", `"operator" is not an address`},
 		{`"executor":"127.0.0.2:7300",`, "", "", `"executor" is missing`},
 		{`"seed":"8c`, `"seed":"zz`, "", `"seed" is not a hex`},
 		{`"stop_ms":3200`, `"stop_ms":"soon"`, "", `"stop_ms" is not a number`},
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -40,7 +40,10 @@
 	say           atomic.Uint64 // bits of the value; NaN: none yet
 	idle          atomic.Int64  // the module's wish to close idle connections, in nanoseconds; 0: none
 
-	owed atomic.Int64 // requests that still wait for their answer
+	owed   atomic.Int64 // requests that still wait for their answer
+	counts counts
+	up     atomic.Bool // the runner was up once
+	away   atomic.Bool // operators want callers to stay away
 
 	mu     sync.Mutex
 	lives  map[policy.ID]*Life
@@ -72,8 +75,10 @@
 	c := &Core{clock: clk, log: log, set: set, seed: seed, class: map[string]policy.Class{}, runner: runner, below: below,
 		ledger: ledger, inbox: newMailbox[event](), stop: make(chan struct{}), lives: map[policy.ID]*Life{},
 		byWire: map[string]*Life{}, keys: newKeyTable(clock.Millis(set.FreshFor))}
+	c.counts.of = map[string]*classCount{}
 	for _, k := range set.Classes {
 		c.class[k.Name] = k
+		c.counts.add(k.Name)
 	}
 	if c.ledger == nil {
 		c.ledger = newMemoryLedger(mostBegun)
@@ -99,9 +104,10 @@
 		return l
 	}
 	c.owed.Add(1)
+	c.counts.active.Add(1)
 	for c.lastID++; c.lastID == 0 || c.lives[c.lastID] != nil; c.lastID++ { // 0 stands for none
 	}
-	l.id, l.owed = c.lastID, true
+	l.id, l.owed, l.counted = c.lastID, true, true
 	c.lives[l.id], c.byWire[q.ID] = l, l
 	c.mu.Unlock()
 	go l.serve()
@@ -121,13 +127,26 @@
 func (c *Core) Owed() int { return int(c.owed.Load()) }
 
 // Up tells that the runner is up, and whether it started cold.
-func (c *Core) Up(cold bool) { c.inbox.put(event{start: true, cold: cold}) }
+func (c *Core) Up(cold bool) {
+	c.inbox.put(event{start: true, cold: cold})
+	c.up.Store(true)
+}
+
+// Ready tells whether requests can be served: the runner was up once.
+func (c *Core) Ready() bool { return c.up.Load() }
+
+// Away answers checks with a bad state, or no longer does, by an operator's order; what comes is served all the same.
+func (c *Core) Away(away bool) { c.away.Store(away) }
 
 // Drain tells the module that the process will be stopped at that time.
 func (c *Core) Drain(stopAt float64) { c.inbox.put(event{drain: stopAt}) }
 
 // Health answers a check: from the module's setting, or where that says so by real work.
 func (c *Core) Health(deep bool, answer func(good bool)) {
+	if c.away.Load() {
+		answer(false)
+		return
+	}
 	if deep && !c.shallow.Load() && c.runner.Diagnose(answer) {
 		return
 	}
--- /dev/null
+++ b/internal/core/figures.go
@@ -0,0 +1,70 @@
+package core
+
+import (
+	"sync"
+	"sync/atomic"
+)
+
+// Figures are counts from the start of the process, by class, for operators.
+type Figures struct {
+	OK     map[string]int64 `json:"ok"`
+	Shed   map[string]int64 `json:"shed"`
+	Errors map[string]int64 `json:"errors"`
+	Tries  map[string]int64 `json:"tries"`
+	Active int64            `json:"active"` // requests taken and not yet ended
+}
+
+type classCount struct{ ok, shed, errors, tries atomic.Int64 }
+
+// counts has an entry for every class of the settings and for no other, so that what callers make up takes no
+// memory here.
+type counts struct {
+	mu     sync.RWMutex
+	of     map[string]*classCount
+	active atomic.Int64
+}
+
+func (n *counts) add(class string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.of[class] == nil {
+		n.of[class] = &classCount{}
+	}
+}
+
+func (n *counts) class(name string) *classCount {
+	n.mu.RLock()
+	defer n.mu.RUnlock()
+	return n.of[name]
+}
+
+func (n *counts) answered(class string, v Verdict) {
+	k := n.class(class)
+	switch {
+	case k == nil:
+	case v == Served:
+		k.ok.Add(1)
+	case v == Refused:
+		k.shed.Add(1)
+	default:
+		k.errors.Add(1)
+	}
+}
+
+func (n *counts) tried(class string) {
+	if k := n.class(class); k != nil {
+		k.tries.Add(1)
+	}
+}
+
+// Figures reads the counts.
+func (c *Core) Figures() Figures {
+	f := Figures{OK: map[string]int64{}, Shed: map[string]int64{}, Errors: map[string]int64{}, Tries: map[string]int64{},
+		Active: c.counts.active.Load()}
+	c.counts.mu.RLock()
+	defer c.counts.mu.RUnlock()
+	for name, k := range c.counts.of {
+		f.OK[name], f.Shed[name], f.Errors[name], f.Tries[name] = k.ok.Load(), k.shed.Load(), k.errors.Load(), k.tries.Load()
+	}
+	return f
+}
--- a/internal/core/life.go
+++ b/internal/core/life.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 
 	"puffinsaddle/internal/clock"
 	"puffinsaddle/internal/net/pool"
@@ -18,6 +19,8 @@
 	reply    func(Outcome)
 	answered bool
 	owed     bool // it waits for its answer
+	counted  bool // it was taken, and so is active until it ends
+	ended    atomic.Bool
 	begun    bool // the owner's: a Start was ordered
 	goneOnce sync.Once
 }
@@ -38,12 +41,26 @@
 )
 
 // Gone tells that nobody waits for the request any more.
-func (l *Life) Gone() { l.goneOnce.Do(func() { l.box.put(callerGone{}) }) }
+func (l *Life) Gone() {
+	l.goneOnce.Do(func() {
+		l.end()
+		l.box.put(callerGone{})
+	})
+}
+
+// end takes the request out of the active ones: it has its answer, or nobody waits for one.
+func (l *Life) end() {
+	if l.counted && !l.ended.Swap(true) {
+		l.core.counts.active.Add(-1)
+	}
+}
 
 // answer gives the one final answer; what comes after it is dropped.
 func (l *Life) answer(o Outcome) {
 	if !l.answered {
 		l.answered = true
+		l.core.counts.answered(l.req.Class, o.Verdict) // before the answer, which its caller may count at once
+		l.end()
 		l.reply(o)
 		l.settle()
 	}
@@ -51,6 +68,7 @@
 
 // settle takes the request out of those that wait for an answer.
 func (l *Life) settle() {
+	l.end()
 	if l.owed {
 		l.owed = false
 		l.core.owed.Add(-1)
@@ -119,6 +137,7 @@
 			}
 			run = &Attempt{Request: l.req, Due: c.due(l.req), Notify: func(n Notice) { l.box.put(n) }}
 			begun = c.clock.Now() // before the start, so that no result looks fresher than it is
+			c.counts.tried(l.req.Class)
 			c.runner.Start(run)
 		}
 	}
--- /dev/null
+++ b/internal/net/operator_test.go
@@ -0,0 +1,96 @@
+package net_test
+
+import (
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+
+	"github.com/rs/zerolog"
+
+	"puffinsaddle/internal/core"
+	"puffinsaddle/internal/net/operator"
+)
+
+// operators opens the operators' address of a house; what it returns makes one call there.
+func (h *house) operators(most int) (address string, call func(method, path string) (status int, body string)) {
+	f, err := operator.Listen("127.0.0.1:0", most, operator.Calls{Ready: h.core.Ready, Drain: h.core.Away,
+		Figures: func() any { return h.core.Figures() }}, zerolog.Nop())
+	must(h.t, err)
+	go f.Serve()
+	h.t.Cleanup(func() { f.Close(h.t.Context()) })
+	client := &http.Client{Timeout: patience}
+	return f.Addr().String(), func(method, path string) (int, string) {
+		h.t.Helper()
+		r, err := http.NewRequest(method, "http://"+f.Addr().String()+path, nil)
+		must(h.t, err)
+		resp, err := client.Do(r)
+		must(h.t, err)
+		defer resp.Body.Close()
+		b, err := io.ReadAll(resp.Body)
+		must(h.t, err)
+		return resp.StatusCode, string(b)
+	}
+}
+
+// Operators send clients away and take them again: checks tell of it, and what comes is served all the while. The
+// figures count what the routers were answered. Callers that finish no call keep nobody out.
+func TestOperatorsSendClientsAwayAndReadFigures(t *testing.T) {
+	x := newExecutor(t)
+	h := withExecutor(t, x, "127.0.0.1:1")
+	address, call := h.operators(2)
+	for range 6 {
+		conn, err := net.Dial("tcp", address)
+		must(t, err)
+		t.Cleanup(func() { conn.Close() })
+	}
+	if status, _ := call("GET", "/-/ready"); status != http.StatusServiceUnavailable {
+		t.Errorf("ready before the executor is up: %d", status)
+	}
+	x.welcome(0)
+	x.pass() // comes after WELCOME was read
+	if status, _ := call("GET", "/-/ready"); status != http.StatusOK {
+		t.Errorf("not ready: %d", status)
+	}
+	p := h.router()
+	ask := func(tag, want string) {
+		t.Helper()
+		p.send("HEALTH", tag)
+		p.want(tag, want)
+	}
+	if status, _ := call("PUT", "/-/drain"); status != http.StatusOK {
+		t.Errorf("drain: %d", status)
+	}
+	ask("1", "sick")
+	p.req(2, 2, "book-delivery", "", "a")
+	x.want("EXEC", id(2))
+	p.req(3, 3, "nobodys", "", "b")
+	p.want("3", "later")
+	figures := func() (f core.Figures) {
+		t.Helper()
+		_, text := call("GET", "/-/metrics")
+		must(t, json.Unmarshal([]byte(text), &f))
+		return f
+	}
+	if f := figures(); f.Active != 1 || f.Tries["book-delivery"] != 1 || f.OK["book-delivery"] != 0 {
+		t.Errorf("with one running: %+v", f)
+	}
+	x.notice("EXIT", id(2)+" success 1", "A")
+	p.want("2", "done", "", "A")
+	if f := figures(); f.Active != 0 || f.OK["book-delivery"] != 1 || len(f.Shed) != len(settings.Classes) {
+		t.Errorf("with one served: %+v", f)
+	}
+	p.req(4, 4, "book-delivery", "", "c")
+	x.want("EXEC", id(4))
+	p.send("ABORT", "4")
+	ask("5", "sick") // so that the ABORT was read
+	if f := figures(); f.Active != 0 || f.Tries["book-delivery"] != 2 {
+		t.Errorf("with its caller gone: %+v", f)
+	}
+	call("PUT", "/-/resume")
+	ask("6", "healthy")
+	if status, _ := call("PUT", "/-/ready"); status < 400 {
+		t.Errorf("a call that does not exist: %d", status)
+	}
+}
