Let a second process take the listening sockets over from the one that it replaces

Ruled out: a slow start (the log ends with "address already in use" within 0.3 s). Now: internal/net/handover passes the sockets over a Unix socket in $TMPDIR. Both processes hold the same queue, so nothing waits in a queue that is closed. The new one accepts after its executor's WELCOME and says ready then; the old one yields on SIGTERM (Core.Yield). Not taken: SO_REUSEPORT, which gives each process a queue of its own, and what completes between the last accept and the close of the old one is reset; on a throttled core that gap is long. At fault: accept.Listen and main.run, which knew of one process only; Core.Leave, which would have told checks "sick".

--- a/cmd/puffinsaddle/main.go
+++ b/cmd/puffinsaddle/main.go
@@ -7,12 +7,16 @@
 	"errors"
 	"fmt"
 	"math"
+	"net"
+	"net/url"
 	"os"
 	"os/signal"
+	"path/filepath"
 	"runtime"
 	"runtime/debug"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"syscall"
 
 	"github.com/rs/zerolog"
@@ -21,7 +25,9 @@
 	"puffinsaddle/internal/config"
 	"puffinsaddle/internal/core"
 	"puffinsaddle/internal/inventory"
+	"puffinsaddle/internal/net/accept"
 	"puffinsaddle/internal/net/executor"
+	"puffinsaddle/internal/net/handover"
 	"puffinsaddle/internal/net/members"
 	"puffinsaddle/internal/net/operator"
 	"puffinsaddle/internal/net/respfront"
@@ -77,10 +83,11 @@
 	}
 
 	var c *core.Core
+	var rise func(cold bool)
 	var runner core.Runner
 	var link *executor.Link
 	if cfg.Executor != "" {
-		link = executor.New(cfg.Executor, log, func(cold bool, ageMs float64) { c.Up(cold) })
+		link = executor.New(cfg.Executor, log, func(cold bool, ageMs float64) { rise(cold) })
 		runner = link
 	}
 	if len(servers) > 0 { // the operator's choice of who does the work comes first
@@ -93,14 +100,35 @@
 	}
 	calls := vault.New(cfg.Vault, clk)
 	c = core.New(clk, log, cfg.Settings, cfg.Seed, runner, calls, ledger)
-	fronts, err := listen(cfg, c, clk, log)
+	given, err := inherit(cfg, log)
 	if err != nil {
 		return err
 	}
+	defer given.close()
+	fronts, sockets, err := listen(cfg, given.sockets, c, clk, log)
+	if err != nil {
+		return err
+	}
+	var offer *handover.Offer // written before ready, read after
+	var ready atomic.Bool
+	serve := func() {
+		for _, f := range fronts {
+			go f.Serve()
+		}
+		if given.path != "" {
+			if offer, err = handover.New(given.path, sockets, log); err != nil {
+				note(log, err) // then this process can't be replaced while it runs
+			}
+		}
+		ready.Store(true)
+	}
+	if !given.any() {
+		serve()
+	}
 	applied, rejected := 0, 0
 	var files sync.Mutex
 	if cfg.OperatorListen != "" {
-		ops, err := operator.Listen(cfg.OperatorListen, config.OperatorConns, operator.Calls{Ready: c.Ready, Drain: c.Away, Figures: func() any {
+		ops, err := operator.Listen(cfg.OperatorListen, config.OperatorConns, operator.Calls{Ready: func() bool { return ready.Load() && c.Ready() }, Drain: c.Away, Figures: func() any {
 			files.Lock()
 			defer files.Unlock()
 			return struct {
@@ -117,14 +145,26 @@
 		defer ops.Close(ctx)
 	}
 	go c.Run()
+	up := make(chan struct{}, 1)
+	rise = func(cold bool) {
+		c.Up(cold)
+		select {
+		case up <- struct{}{}:
+		default:
+		}
+	}
 	if link != nil {
 		go link.Run(ctx)
 	} else {
-		c.Up(false)
+		rise(false)
 	}
 	reporter := members.New(cfg.Members, cfg.Name)
 	go reporter.Run(ctx)
 
+	var doors []core.Front
+	for _, f := range fronts {
+		doors = append(doors, f)
+	}
 	left := make(chan struct{})
 	draining := false
 	for {
@@ -146,6 +186,13 @@
 					rejected++
 				}
 				files.Unlock()
+			case !draining && offer.Taken():
+				draining = true
+				log.Info().Msg("replaced")
+				go func() {
+					c.Yield(doors...)
+					close(left)
+				}()
 			case !draining:
 				draining = true
 				log.Info().Float64("stop_ms", cfg.StopMs).Msg("draining")
@@ -154,10 +201,14 @@
 					go func() { note(log, state.Set(drainMark+cfg.Name, []byte("draining"))) }() // the drain waits for no quorum
 				}
 				go func() {
-					c.Leave(cfg.StopMs, fronts...)
+					c.Leave(cfg.StopMs, doors...)
 					close(left)
 				}()
 			}
+		case <-up:
+			if !ready.Load() && !draining { // until now the process before this one served what comes there
+				serve()
+			}
 		case <-left:
 			return nil
 		}
@@ -177,28 +228,78 @@
 	return true
 }
 
-// listen opens the fronts that the configuration names.
-func listen(cfg *config.Config, c *core.Core, clk *clock.Clock, log zerolog.Logger) ([]core.Front, error) {
-	var fronts []core.Front
+// front is a core's front that has to be set going.
+type front interface {
+	core.Front
+	Serve()
+}
+
+// listen opens the fronts that the configuration names, on sockets that were handed over where there are such.
+func listen(cfg *config.Config, given map[string]*net.TCPListener, c *core.Core, clk *clock.Clock, log zerolog.Logger) ([]front, map[string]*net.TCPListener, error) {
+	var fronts []front
+	sockets := map[string]*net.TCPListener{}
+	open := func(address, what string) (*accept.Listener, error) {
+		ln, err := accept.On(given[address], log), error(nil)
+		if given[address] == nil {
+			ln, err = accept.Listen(address, log)
+		}
+		if err == nil {
+			log.Info().Stringer("at", ln.Addr()).Bool("inherited", given[address] != nil).Msg("serving " + what)
+			sockets[address] = ln.Socket()
+		}
+		return ln, err
+	}
 	if cfg.Listen != "" {
-		f, err := respfront.Listen(cfg.Listen, cfg.RouterSockets(), c, clk, log)
+		ln, err := open(cfg.Listen, "routers")
 		if err != nil {
-			return nil, err
+			return nil, nil, err
 		}
-		log.Info().Stringer("at", f.Addr()).Msg("serving routers")
-		go f.Serve()
-		fronts = append(fronts, f)
+		fronts = append(fronts, respfront.New(ln, cfg.RouterSockets(), c, clk, log))
 	}
-	if cfg.Operator.UWSGI.Listen != "" {
-		f, err := uwsgi.Listen(cfg.Operator.UWSGI, c, clk, log)
+	if u := cfg.Operator.UWSGI; u.Listen != "" {
+		ln, err := open(u.Listen, "uwsgi")
 		if err != nil {
-			return nil, err
+			return nil, nil, err
 		}
-		log.Info().Stringer("at", f.Addr()).Msg("serving uwsgi")
-		go f.Serve()
-		fronts = append(fronts, f)
+		fronts = append(fronts, uwsgi.New(ln, u, c, clk, log))
+	}
+	for address, s := range given {
+		if sockets[address] != s {
+			s.Close() // nobody would accept from it
+		}
+	}
+	return fronts, sockets, nil
+}
+
+// inheritance is what a process that runs already hands to this one, which replaces it.
+type inheritance struct {
+	path    string // where this process offers the same in its turn; empty: nowhere
+	sockets map[string]*net.TCPListener
+	tie     net.Conn
+}
+
+func (i inheritance) any() bool { return len(i.sockets) > 0 }
+
+func (i inheritance) close() {
+	if i.tie != nil {
+		i.tie.Close()
+	}
+}
+
+// inherit asks the process before this one for its listening sockets. It is found in the server's own folder, by
+// name; without such a folder there is no telling whose process it would be.
+func inherit(cfg *config.Config, log zerolog.Logger) (i inheritance, err error) {
+	if cfg.Private == "" {
+		return i, nil
+	}
+	i.path = filepath.Join(cfg.Private, url.PathEscape(cfg.Name)+".handover")
+	if i.sockets, i.tie, err = handover.Take(i.path); err != nil {
+		return i, err
+	}
+	if i.any() {
+		log.Info().Int("sockets", len(i.sockets)).Msg("replacing a running process")
 	}
-	return fronts, nil
+	return i, nil
 }
 
 // inventoried lists the uwsgi servers that the operator's file and its inventory name, and the inventory.
--- a/cmd/puffinsaddle/main_test.go
+++ b/cmd/puffinsaddle/main_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"fmt"
+	"io"
 	"net"
 	"os"
 	"path/filepath"
@@ -24,17 +25,18 @@
 
 func (l logLines) Write(b []byte) (int, error) { l <- string(b); return len(b), nil }
 
-func (l logLines) want(t *testing.T, word string) {
+func (l logLines) want(t *testing.T, word string) string {
 	t.Helper()
 	for line := range l {
 		if strings.Contains(line, word) {
-			return
+			return line
 		}
 	}
 	t.Fatalf("the log ended without %q", word)
+	return ""
 }
 
-func executorPeer(t *testing.T) (address string, joined <-chan string) {
+func executorPeer(t *testing.T, welcome string) (address string, joined <-chan string) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -48,6 +50,7 @@
 				return
 			}
 			line, _ := bufio.NewReader(conn).ReadString('\n')
+			conn.Write([]byte(welcome))
 			joins <- strings.TrimSpace(line)
 			t.Cleanup(func() { conn.Close() })
 		}
@@ -85,9 +88,9 @@
 			t.Fatal(err)
 		}
 	}
-	first, firstJoins := executorPeer(t)
-	second, secondJoins := executorPeer(t)
-	third, thirdJoins := executorPeer(t)
+	first, firstJoins := executorPeer(t, "")
+	second, secondJoins := executorPeer(t, "")
+	third, thirdJoins := executorPeer(t, "")
 	m1, m2 := membersPeer(t), membersPeer(t)
 	write(fmt.Sprintf(text, first, m1.LocalAddr()))
 	cfg, err := load()
@@ -126,3 +129,60 @@
 		t.Errorf("ended in the middle of its drain: %v", err)
 	}
 }
+
+// A second process starts beside the first on the same addresses and takes its sockets over once its own executor is
+// up. The first is then no longer needed: it asks its callers to go, and ends by itself. Nobody is ever refused a
+// connection, and checks are answered well all the while.
+func TestRunningProcessIsReplaced(t *testing.T) {
+	private, members := t.TempDir(), membersPeer(t)
+	start := func(executor string) (logLines, chan os.Signal, chan error) {
+		path := filepath.Join(t.TempDir(), "config.json")
+		if err := os.WriteFile(path, []byte(fmt.Sprintf(text, executor, members.LocalAddr())), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		load := func() (*config.Config, error) {
+			return config.Load(func(k string) string { return map[string]string{"RELAY_CONFIG": path, "TMPDIR": private}[k] })
+		}
+		cfg, err := load()
+		if err != nil {
+			t.Fatal(err)
+		}
+		lines, signals, done := make(logLines, 1000), make(chan os.Signal), make(chan error, 1)
+		go func() { done <- run(cfg, load, signals, zerolog.New(lines)) }()
+		return lines, signals, done
+	}
+	const check, healthy = "*2\r\n$6\r\nHEALTH\r\n$1\r\n1\r\n", "*3\r\n$1\r\n1\r\n$7\r\nhealthy\r\n"
+	first, _ := executorPeer(t, "WELCOME steady 5\r\n")
+	lines, signals, done := start(first)
+	_, at, _ := strings.Cut(lines.want(t, "serving routers"), `"at":"`)
+	at, _, _ = strings.Cut(at, `"`)
+	ask := func() {
+		t.Helper()
+		conn, err := net.Dial("tcp", at)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { conn.Close() })
+		conn.Write([]byte(check))
+		b := make([]byte, len(healthy))
+		if _, err := io.ReadFull(conn, b); err != nil || string(b) != healthy {
+			t.Fatalf("answered %q, %v", b, err)
+		}
+	}
+	ask()
+	second, joins := executorPeer(t, "")
+	starting, _, _ := start(second)
+	starting.want(t, "replacing a running process")
+	<-joins
+	ask() // by the first: the second's executor is not up
+	third, _ := executorPeer(t, "WELCOME steady 5\r\n")
+	taking, _, _ := start(third)
+	taking.want(t, "module started")
+	ask()
+	signals <- syscall.SIGTERM
+	lines.want(t, "replaced")
+	if err := <-done; err != nil {
+		t.Errorf("the first ended with %v", err)
+	}
+	ask()
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -44,6 +44,7 @@
 	Operator Operator
 
 	OperatorListen string // where operators call; empty: nowhere
+	Private        string // a folder of this server's own; empty: none
 }
 
 // Load reads the configuration that the environment names.
@@ -70,6 +71,7 @@
 	if v := getenv("RELAY_OPERATOR"); v != "" {
 		c.OperatorListen = v
 	}
+	c.Private = getenv("TMPDIR")
 	// Not under the platform's prefix: it may name a variable of its own so, with something else in it, and a
 	// program that takes that for its file's path never starts.
 	if v := getenv(operatorFile); v != "" {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -43,6 +43,7 @@
 	owed   atomic.Int64 // requests that still wait for their answer
 	counts counts
 	up     atomic.Bool // the runner was up once
+	yields atomic.Bool // a successor took over: the module's state of draining is no state of the server
 	away   atomic.Bool // operators want callers to stay away
 
 	mu     sync.Mutex
@@ -317,6 +318,9 @@
 	case policy.Forget:
 		c.keys.forget(a.ID)
 	case policy.Health:
+		if c.yields.Load() {
+			return
+		}
 		c.shallow.Store(a.Shallow)
 		if c.good.Swap(a.Good) != a.Good {
 			c.log.Info().Bool("good", a.Good).Msg("health")
--- a/internal/core/drain.go
+++ b/internal/core/drain.go
@@ -10,12 +10,17 @@
 	shutMs    = 250.0 // before the stop, listeners close: what comes later could not be answered
 	leaveMs   = 25.0  // and the process ends so long before
 	lookEvery = 5 * time.Millisecond
+
+	yieldLeast = 1000.0 // a process that was replaced stays so long for requests that crossed its asking
+	yieldLong  = 3000.0 // and is killed the longest deadline after its notice, of which so much counts,
+	yieldMore  = 700.0  // plus this
 )
 
 // Front is what brings requests.
 type Front interface {
 	Drain()        // ask callers for no new requests
 	Shut()         // take no new connection, once the listening queue is empty
+	Yield()        // the same where a successor shares the queue: leave it to that one, and ask callers to go there
 	Flushed() bool // nothing is left to write
 	Close()
 }
@@ -43,6 +48,30 @@
 	}
 }
 
+// Yield carries out the notice to a process that was replaced by another on the same listening sockets. It is no
+// drain: checks keep their state, since to callers the two are one order server.
+func (c *Core) Yield(fronts ...Front) {
+	longest := 0.0
+	for _, k := range c.set.Classes {
+		longest = max(longest, clock.Millis(k.Deadline))
+	}
+	begun := c.clock.Now()
+	stopAt := begun + min(longest, yieldLong) + yieldMore
+	c.yields.Store(true)
+	c.Drain(stopAt)
+	for _, f := range fronts {
+		f.Yield()
+	}
+	for c.clock.Now() < stopAt-leaveMs && (c.clock.Now() < begun+yieldLeast || !c.done(fronts)) {
+		time.Sleep(lookEvery)
+	}
+	c.log.Info().Int("owed", c.Owed()).Msg("leaving to the successor")
+	for _, f := range fronts {
+		f.Shut()
+		f.Close()
+	}
+}
+
 func (c *Core) done(fronts []Front) bool {
 	for _, f := range fronts {
 		if !f.Flushed() {
--- a/internal/net/peers_test.go
+++ b/internal/net/peers_test.go
@@ -20,6 +20,7 @@
 	"puffinsaddle/internal/clock"
 	"puffinsaddle/internal/config"
 	"puffinsaddle/internal/core"
+	"puffinsaddle/internal/net/accept"
 	"puffinsaddle/internal/net/executor"
 	"puffinsaddle/internal/net/respfront"
 	"puffinsaddle/internal/net/uwsgi"
@@ -65,16 +66,17 @@
 		hand(c)
 	}
 	h := &house{t: t, core: c}
-	var err error
-	h.resp, err = respfront.Listen("127.0.0.1:0", 64, c, clk, zerolog.Nop())
+	ln, err := accept.Listen("127.0.0.1:0", zerolog.Nop())
 	must(t, err)
-	set.Listen, set.Conns, set.KB = "127.0.0.1:0", 64, 10
+	h.resp = respfront.New(ln, 64, c, clk, zerolog.Nop())
+	set.Conns, set.KB = 64, 10
 	set.MaxBody, set.MaxResult = 4096, 4096
 	if set.ReadMs == 0 {
 		set.ReadMs = 1e6
 	}
-	h.uw, err = uwsgi.Listen(set, c, clk, zerolog.Nop())
+	ln, err = accept.Listen("127.0.0.1:0", zerolog.Nop())
 	must(t, err)
+	h.uw = uwsgi.New(ln, set, c, clk, zerolog.Nop())
 	go c.Run()
 	go h.resp.Serve()
 	go h.uw.Serve()
--- a/internal/net/respfront/front.go
+++ b/internal/net/respfront/front.go
@@ -54,13 +54,9 @@
 	closed   bool
 }
 
-// Listen opens the listening socket; Serve has to be called next.
-func Listen(address string, most int, c *core.Core, clk *clock.Clock, log zerolog.Logger) (*Front, error) {
-	ln, err := accept.Listen(address, log)
-	if err != nil {
-		return nil, err
-	}
-	return &Front{core: c, clock: clk, log: log, ln: ln, most: most, conns: map[*conn]bool{}}, nil
+// New makes a front on a listening socket; Serve has to be called next.
+func New(ln *accept.Listener, most int, c *core.Core, clk *clock.Clock, log zerolog.Logger) *Front {
+	return &Front{core: c, clock: clk, log: log, ln: ln, most: most, conns: map[*conn]bool{}}
 }
 
 // Addr is where the front listens.
@@ -130,6 +126,12 @@
 // Shut closes the listener once its queue is empty.
 func (f *Front) Shut() { f.ln.Shut() }
 
+// Yield leaves new connections to the process that shares the socket, and asks all routers to go there.
+func (f *Front) Yield() {
+	f.ln.Yield()
+	f.Drain()
+}
+
 // Flushed tells that all answers are written.
 func (f *Front) Flushed() bool {
 	f.mu.Lock()
--- a/internal/net/uwsgi/front.go
+++ b/internal/net/uwsgi/front.go
@@ -44,13 +44,9 @@
 	shutAll bool
 }
 
-// Listen opens the listening socket; Serve has to be called next.
-func Listen(set config.UWSGI, c *core.Core, clk *clock.Clock, log zerolog.Logger) (*Front, error) {
-	ln, err := accept.Listen(set.Listen, log)
-	if err != nil {
-		return nil, err
-	}
-	return &Front{set: set, core: c, clock: clk, log: log, ln: ln, conns: map[net.Conn]bool{}}, nil
+// New makes a front on a listening socket; Serve has to be called next.
+func New(ln *accept.Listener, set config.UWSGI, c *core.Core, clk *clock.Clock, log zerolog.Logger) *Front {
+	return &Front{set: set, core: c, clock: clk, log: log, ln: ln, conns: map[net.Conn]bool{}}
 }
 
 // Addr is where the front listens.
@@ -102,6 +98,9 @@
 	}
 }
 
+// Yield leaves new connections to the process that shares the socket; those that are open go on.
+func (f *Front) Yield() { f.ln.Yield() }
+
 // Flushed tells that all answers are written.
 func (f *Front) Flushed() bool {
 	f.mu.Lock()
