Put new settings into force at SIGHUP, with classes that come and go

Ruled out: drain and resume (6 calls, none late), room (cores idle while these were refused), the wire. At fault: main.reload, which moved addresses alone; Core.class and Instance.byName, fixed at the start; Figures.Tries. Now: the owner hands the module what came before, then Core.adopt and Instance.Adopt change classes. A request points at the class it came with, by which its record of effects and its due time go to the end.

--- a/cmd/puffinsaddle/main.go
+++ b/cmd/puffinsaddle/main.go
@@ -166,18 +166,20 @@
 		doors = append(doors, f)
 	}
 	left := make(chan struct{})
-	draining := false
+	draining, inForce := false, cfg
 	for {
 		select {
 		case s := <-signals:
 			switch {
 			case s == syscall.SIGHUP: // also during a drain: open runs need the new addresses until their end
-				ok := reload(load, log, func(now *config.Config) {
+				ok := reload(load, inForce, log, func(now *config.Config) {
+					inForce = now
 					if link != nil && now.Executor != "" {
 						link.Move(now.Executor)
 					}
 					calls.Move(now.Vault)
 					reporter.Move(now.Members)
+					c.Adopt(now.Settings)
 				})
 				files.Lock()
 				if ok {
@@ -215,10 +217,13 @@
 	}
 }
 
-// reload reads the configuration again and hands it on; a faulty one changes nothing. What is not an address
-// of a peer needs a restart.
-func reload(load func() (*config.Config, error), log zerolog.Logger, use func(*config.Config)) bool {
+// reload reads the configuration again and hands it on; a faulty one changes nothing. What is neither an
+// address of a peer nor among the settings needs a restart.
+func reload(load func() (*config.Config, error), old *config.Config, log zerolog.Logger, use func(*config.Config)) bool {
 	now, err := load()
+	if err == nil {
+		err = now.Replaces(old)
+	}
 	if err != nil {
 		log.Error().Err(err).Msg("configuration not taken; the old one stays in force")
 		return false
--- a/cmd/puffinsaddle/main_test.go
+++ b/cmd/puffinsaddle/main_test.go
@@ -108,6 +108,9 @@
 	write(strings.Replace(fmt.Sprintf(text, second, m2.LocalAddr()), `"stop_ms":1e7`, `"stop_ms":"soon"`, 1))
 	signals <- syscall.SIGHUP
 	lines.want(t, "stop_ms")
+	write(strings.Replace(fmt.Sprintf(text, second, m2.LocalAddr()), `"stop_ms":1e7,`, "", 1)) // would be taken at a start
+	signals <- syscall.SIGHUP
+	lines.want(t, "the file in force has it")
 	write(fmt.Sprintf(text, second, m2.LocalAddr()))
 	signals <- syscall.SIGHUP
 	if j := <-secondJoins; j != "JOIN 0" {
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -43,8 +43,9 @@
 	Settings policy.Settings
 	Operator Operator
 
-	OperatorListen string // where operators call; empty: nowhere
-	Private        string // a folder of this server's own; empty: none
+	OperatorListen string          // where operators call; empty: nowhere
+	keys           map[string]bool // of the file
+	Private        string          // a folder of this server's own; empty: none
 }
 
 // Load reads the configuration that the environment names.
@@ -94,9 +95,10 @@
 	f := &Fields{V: v, What: "config"}
 	f.Need("settings")
 	c := &Config{
-		Name: f.Text("name"), Listen: f.Text("listen"), Executor: f.Text("executor"), Members: f.Text("members"), OperatorListen: f.Text("operator"),
+		Name: f.Text("name"), Listen: f.Text("listen"), Executor: f.Text("executor"), Members: f.Text("members"), OperatorListen: f.Text("operator"), keys: map[string]bool{},
 		Vault: f.Text("vault"), StopMs: f.Number("stop_ms"), Cores: defaultCores, MemoryMB: defaultMemoryMB, Sockets: defaultSockets,
 	}
+	keysOf(v, "", c.keys)
 	if f.Get("stop_ms") == nil {
 		c.StopMs = defaultStopMs
 	}
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -83,3 +83,28 @@
 		t.Errorf("no environment: %v", err)
 	}
 }
+
+// A file that comes after another has all of its keys, in every class; it may have more, and other classes.
+func TestReplacingFileLacksNothing(t *testing.T) {
+	old, err := Parse([]byte(good))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range []struct{ old, new, want string }{
+		{"", "", ""},
+		{`"name":"book"`, `"name":"order","more":1`, ""},
+		{`"classes":[`, `"classes":[{"name":"a","aim":1,"deadline":1,"worth":1,"idempotency":"safe"},`, ""},
+		{`"seed":"8c1f30d27a5be964",`, "", `"seed"`},
+		{`"members":"127.0.0.3:8761"`, `"members":null`, `"members"`},
+		{`"memory_mb":192,`, "", `"limits.memory_mb"`},
+		{`"freshFor":200000000`, `"fresh":1`, `"settings.extra.freshFor"`},
+	} {
+		now, err := Parse([]byte(strings.Replace(good, c.old, c.new, 1)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := now.Replaces(old); (err == nil) != (c.want == "") || err != nil && !strings.Contains(err.Error(), c.want) {
+			t.Errorf("%s -> %s: %v, want %s", c.old, c.new, err, c.want)
+		}
+	}
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -25,9 +25,8 @@
 type Core struct {
 	clock  *clock.Clock
 	log    zerolog.Logger
-	set    policy.Settings
 	seed   uint64
-	class  map[string]policy.Class
+	tick   float64
 	runner Runner
 	below  Below
 	ledger Ledger
@@ -42,9 +41,10 @@
 
 	owed   atomic.Int64 // requests that still wait for their answer
 	counts counts
-	up     atomic.Bool // the runner was up once
-	yields atomic.Bool // a successor took over: the module's state of draining is no state of the server
-	away   atomic.Bool // operators want callers to stay away
+	lasts  atomic.Int64 // the longest deadline of a class, in nanoseconds
+	up     atomic.Bool  // the runner was up once
+	yields atomic.Bool  // a successor took over: the module's state of draining is no state of the server
+	away   atomic.Bool  // operators want callers to stay away
 
 	mu     sync.Mutex
 	lives  map[policy.ID]*Life
@@ -52,6 +52,8 @@
 	lastID policy.ID
 
 	// The owner's.
+	set    policy.Settings
+	class  map[string]policy.Class
 	module *policy.Instance
 	born   float64
 	last   float64 // when the module was last called
@@ -68,19 +70,17 @@
 	notice Notice       // of a run's end
 	start  bool         // the runner is up
 	cold   bool
-	drain  float64 // when the process will be stopped
+	drain  float64          // when the process will be stopped
+	set    *policy.Settings // in force from now on
 }
 
 // New makes a core; Run has to be called for it to serve.
 func New(clk *clock.Clock, log zerolog.Logger, set policy.Settings, seed uint64, runner Runner, below Below, ledger Ledger) *Core {
-	c := &Core{clock: clk, log: log, set: set, seed: seed, class: map[string]policy.Class{}, runner: runner, below: below,
+	c := &Core{clock: clk, log: log, tick: clock.Millis(set.Tick), seed: seed, runner: runner, below: below,
 		ledger: ledger, inbox: newMailbox[event](), stop: make(chan struct{}), lives: map[policy.ID]*Life{},
 		byWire: map[string]*Life{}, keys: newKeyTable(clock.Millis(set.FreshFor))}
 	c.counts.of = map[string]*classCount{}
-	for _, k := range set.Classes {
-		c.class[k.Name] = k
-		c.counts.add(k.Name)
-	}
+	c.adopt(set)
 	if c.ledger == nil {
 		c.ledger = newMemoryLedger(mostBegun)
 	}
@@ -89,6 +89,26 @@
 	return c
 }
 
+// Adopt puts other settings into force, which have passed the module's check. Open requests keep their class.
+func (c *Core) Adopt(set policy.Settings) { c.inbox.put(event{set: &set}) }
+
+func (c *Core) adopt(set policy.Settings) {
+	c.set, c.class, c.keys.fresh = set, map[string]policy.Class{}, clock.Millis(set.FreshFor)
+	lasts := time.Duration(0)
+	for _, k := range set.Classes {
+		c.class[k.Name] = k
+		c.counts.add(k.Name)
+		lasts = max(lasts, k.Deadline)
+	}
+	c.lasts.Store(int64(lasts))
+	if c.module == nil {
+		return
+	}
+	if err := c.module.Adopt(set); err != nil {
+		panic(err) // config has tried the same settings
+	}
+}
+
 // Open takes a request in. answer is called once at most, and not after Gone was heard in time.
 func (c *Core) Open(q *Request, answer func(Outcome)) *Life {
 	l := &Life{core: c, req: q, box: newMailbox[any](), reply: answer}
@@ -163,21 +183,9 @@
 // CloseIdle is the span in milliseconds after which idle connections are to be closed; 0: the callers do it.
 func (c *Core) CloseIdle() float64 { return clock.Millis(time.Duration(c.idle.Load())) }
 
-func (c *Core) knows(class string) bool { _, ok := c.class[class]; return ok }
-
-func (c *Core) deadline(class string) time.Duration { return c.class[class].Deadline }
-
-// due is when a request's answer is due.
-func (c *Core) due(q *Request) float64 {
-	if q.Wait > 0 {
-		return q.At + q.Wait
-	}
-	return q.At + clock.Millis(c.deadline(q.Class))
-}
-
 // begin records an effect before its run.
-func (c *Core) begin(q *Request) (bool, error) {
-	if c.class[q.Class].Safety == policy.Safe {
+func (c *Core) begin(q *Request, k policy.Class) (bool, error) {
+	if k.Safety == policy.Safe {
 		return true, nil
 	}
 	ok, err := c.ledger.Begin(q.ID)
@@ -228,6 +236,9 @@
 		switch {
 		case e.start:
 			c.start(now, e.cold)
+		case e.set != nil:
+			c.handle(now) // what came before keeps its class
+			c.adopt(*e.set)
 		case e.drain > 0:
 			c.start(now, false)
 			c.events = append(c.events, policy.DrainNotice{Left: clock.Duration(max(e.drain-now, 0))})
@@ -240,9 +251,7 @@
 		return
 	}
 	c.last = now
-	for _, a := range c.module.Handle(clock.Duration(now-c.born), c.events) {
-		c.act(now, a)
-	}
+	c.handle(now)
 	for i, e := range c.batch {
 		if _, left := e.event.(policy.CallerGone); left && !e.life.begun {
 			e.life.box.put(dismissed{})
@@ -253,6 +262,17 @@
 	c.keys.expire(now)
 }
 
+// handle calls the module for the events so far.
+func (c *Core) handle(now float64) {
+	if c.module == nil {
+		return
+	}
+	for _, a := range c.module.Handle(clock.Duration(now-c.born), c.events) {
+		c.act(now, a)
+	}
+	c.events = c.events[:0]
+}
+
 func (c *Core) start(now float64, cold bool) {
 	if c.module != nil {
 		return
@@ -271,13 +291,18 @@
 func (c *Core) translate(now float64, e event) policy.Event {
 	switch ev := e.event.(type) {
 	case policy.Arrived:
-		q := e.life.req
+		l, q := e.life, e.life.req
+		l.class, l.known = c.class[q.Class] // for good, whatever settings come
+		l.due = q.At + q.Wait
+		if q.Wait == 0 {
+			l.due = q.At + clock.Millis(l.class.Deadline)
+		}
 		ev.Class, ev.Caller, ev.KB, ev.Rank, ev.Key, ev.Resent = q.Class, q.From, q.KB, q.Rank, q.Key, q.Retry
 		ev.Waited = clock.Duration(max(now-q.At, 0))
 		if q.Wait > 0 {
 			ev.Left = max(clock.Duration(q.At+q.Wait-now), earliest)
 		}
-		ev.Write = c.class[q.Class].Safety != policy.Safe
+		ev.Write = l.class.Safety != policy.Safe
 		if !ev.Write && q.Key != "" {
 			ev.Original, ev.Repeats = c.keys.original(q, now)
 		}
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -153,3 +153,24 @@
 		}
 	}
 }
+
+// New settings: what was open ends as what it came as, a booking whose class went is still run once, and a class
+// that went is not known to what comes after.
+func TestOpenRequestsKeepTheirClass(t *testing.T) {
+	r := newRig(t, nil)
+	r.open(1, "book", "", begin)
+	old := <-r.hand.started
+	set := testSettings
+	set.Classes = []policy.Class{testSettings.Classes[0], {Name: "order", Aim: 2 * time.Second, Deadline: 5 * time.Second, Worth: 4, Safety: policy.Unsafe}}
+	r.Adopt(set)
+	r.open(2, "order", "", begin)
+	r.end(<-r.hand.started, "new", 1)
+	r.want("2 0 new")
+	r.open(3, "book", "", begin)
+	r.want(fmt.Sprintf("3 %d ", Refused))
+	r.end(old, "old", 1)
+	r.want("1 0 old")
+	if f := r.Figures(); f.OK["book"] != 1 || f.OK["order"] != 1 || f.Shed["book"] != 1 || f.Tries != 2 || f.Active != 0 {
+		t.Errorf("figures %+v", f)
+	}
+}
--- a/internal/core/drain.go
+++ b/internal/core/drain.go
@@ -51,10 +51,7 @@
 // Yield carries out the notice to a process that was replaced by another on the same listening sockets. It is no
 // drain: checks keep their state, since to callers the two are one order server.
 func (c *Core) Yield(fronts ...Front) {
-	longest := 0.0
-	for _, k := range c.set.Classes {
-		longest = max(longest, clock.Millis(k.Deadline))
-	}
+	longest := clock.Millis(time.Duration(c.lasts.Load()))
 	begun := c.clock.Now()
 	stopAt := begun + min(longest, yieldLong) + yieldMore
 	c.yields.Store(true)
--- a/internal/core/figures.go
+++ b/internal/core/figures.go
@@ -10,18 +10,18 @@
 	OK     map[string]int64 `json:"ok"`
 	Shed   map[string]int64 `json:"shed"`
 	Errors map[string]int64 `json:"errors"`
-	Tries  map[string]int64 `json:"tries"`
+	Tries  int64            `json:"tries"`  // runs begun
 	Active int64            `json:"active"` // requests taken and not yet ended
 }
 
-type classCount struct{ ok, shed, errors, tries atomic.Int64 }
+type classCount struct{ ok, shed, errors atomic.Int64 }
 
 // counts has an entry for every class of the settings and for no other, so that what callers make up takes no
 // memory here.
 type counts struct {
-	mu     sync.RWMutex
-	of     map[string]*classCount
-	active atomic.Int64
+	mu            sync.RWMutex
+	of            map[string]*classCount
+	active, tries atomic.Int64
 }
 
 func (n *counts) add(class string) {
@@ -51,20 +51,14 @@
 	}
 }
 
-func (n *counts) tried(class string) {
-	if k := n.class(class); k != nil {
-		k.tries.Add(1)
-	}
-}
-
 // Figures reads the counts.
 func (c *Core) Figures() Figures {
-	f := Figures{OK: map[string]int64{}, Shed: map[string]int64{}, Errors: map[string]int64{}, Tries: map[string]int64{},
-		Active: c.counts.active.Load()}
+	f := Figures{OK: map[string]int64{}, Shed: map[string]int64{}, Errors: map[string]int64{},
+		Tries: c.counts.tries.Load(), Active: c.counts.active.Load()}
 	c.counts.mu.RLock()
 	defer c.counts.mu.RUnlock()
 	for name, k := range c.counts.of {
-		f.OK[name], f.Shed[name], f.Errors[name], f.Tries[name] = k.ok.Load(), k.shed.Load(), k.errors.Load(), k.tries.Load()
+		f.OK[name], f.Shed[name], f.Errors[name] = k.ok.Load(), k.shed.Load(), k.errors.Load()
 	}
 	return f
 }
--- a/internal/core/life.go
+++ b/internal/core/life.go
@@ -17,6 +17,9 @@
 	req      *Request
 	box      *mailbox[any] // orders of the module, notices of the runner, replies from below
 	reply    func(Outcome)
+	class    policy.Class // the owner fills it in when the module hears of the request, and due with it
+	known    bool         // it is a class of the settings
+	due      float64      // when the answer is due
 	answered bool
 	owed     bool // it waits for its answer
 	counted  bool // it was taken, and so is active until it ends
@@ -78,7 +81,7 @@
 // fail answers at once, whatever still runs.
 func (l *Life) fail() {
 	c := l.core
-	if c.clock.Now() >= c.due(l.req)-clock.Millis(c.set.Tick) {
+	if c.clock.Now() >= l.due-c.tick {
 		l.answer(Outcome{Verdict: Overdue})
 		return
 	}
@@ -99,7 +102,7 @@
 	for run == nil {
 		switch m := l.box.next().(type) {
 		case policy.Refuse:
-			l.answer(Outcome{Verdict: Refused, After: clock.Millis(m.Pause), Last: m.NoRetry, Unknown: !c.knows(l.req.Class)})
+			l.answer(Outcome{Verdict: Refused, After: clock.Millis(m.Pause), Last: m.NoRetry, Unknown: !l.known})
 			return
 		case policy.Fail:
 			l.fail()
@@ -124,7 +127,7 @@
 				c.tell(l, policy.Finished{ID: l.id, Outcome: policy.Moot})
 				return
 			}
-			if ok, err := c.begin(l.req); !ok {
+			if ok, err := c.begin(l.req, l.class); !ok {
 				// Not begun here now: an effect whose record can't be kept may be tried elsewhere, one
 				// that was begun before may not.
 				if err != nil {
@@ -135,9 +138,9 @@
 				c.tell(l, policy.Finished{ID: l.id, Outcome: policy.Moot})
 				return
 			}
-			run = &Attempt{Request: l.req, Due: c.due(l.req), Notify: func(n Notice) { l.box.put(n) }}
+			run = &Attempt{Request: l.req, Due: l.due, Notify: func(n Notice) { l.box.put(n) }}
 			begun = c.clock.Now() // before the start, so that no result looks fresher than it is
-			c.counts.tried(l.req.Class)
+			c.counts.tries.Add(1)
 			c.runner.Start(run)
 		}
 	}
@@ -206,7 +209,7 @@
 	c := l.core
 	limit := clock.Millis(order.MaxWait)
 	if limit <= 0 {
-		limit = clock.Millis(c.deadline(l.req.Class))
+		limit = clock.Millis(l.class.Deadline)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	body = pool.Copy(body) // the life may move on to its next call while this one is being given up
--- a/internal/net/operator_test.go
+++ b/internal/net/operator_test.go
@@ -73,7 +73,7 @@
 		must(t, json.Unmarshal([]byte(text), &f))
 		return f
 	}
-	if f := figures(); f.Active != 1 || f.Tries["book-delivery"] != 1 || f.OK["book-delivery"] != 0 {
+	if f := figures(); f.Active != 1 || f.Tries != 1 || f.OK["book-delivery"] != 0 {
 		t.Errorf("with one running: %+v", f)
 	}
 	x.notice("EXIT", id(2)+" success 1", "A")
@@ -85,7 +85,7 @@
 	x.want("EXEC", id(4))
 	p.send("ABORT", "4")
 	ask("5", "sick") // so that the ABORT was read
-	if f := figures(); f.Active != 0 || f.Tries["book-delivery"] != 2 {
+	if f := figures(); f.Active != 0 || f.Tries != 2 {
 		t.Errorf("with its caller gone: %+v", f)
 	}
 	call("PUT", "/-/resume")
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -6,6 +6,7 @@
 import (
 	"math"
 	"math/rand/v2"
+	"slices"
 	"sort"
 	"time"
 )
@@ -75,17 +76,45 @@
 	if err := check(set); err != nil {
 		return nil, err
 	}
-	n := &Instance{set: set, rng: rand.New(rand.NewPCG(seed, 0)), requests: map[ID]*request{}, runnable: -1,
-		byName: map[string]int{}, callRun: float64(callBackoff), line: orderedHeap[moment]{less: sooner}}
-	tightest := set.Classes[0].Aim
-	for _, c := range set.Classes {
-		tightest = min(tightest, c.Aim)
+	n := &Instance{rng: rand.New(rand.NewPCG(seed, 0)), requests: map[ID]*request{}, runnable: -1,
+		callRun: float64(callBackoff), line: orderedHeap[moment]{less: sooner}}
+	n.unreadMost = unreadMost * (1 + n.rng.Float64()) / 2
+	n.adopt(set)
+	return n, nil
+}
+
+// Adopt puts other settings into force. Open requests keep the class that they came with.
+func (n *Instance) Adopt(set Settings) error {
+	if err := check(set); err != nil {
+		return err
 	}
-	n.unreadMost = float64(tightest) * unreadMost * (1 + n.rng.Float64()) / 2
+	set.JustStarted = n.set.JustStarted // the machine is as cold as it was
+	n.adopt(set)
+	return nil
+}
+
+func (n *Instance) adopt(set Settings) {
+	n.set = set
+	n.tightest = set.Classes[0].Aim
 	for _, c := range set.Classes {
-		guess := float64(tightest) / firstGuess
-		n.classes = append(n.classes, &class{Class: c, run: guess, size: guess,
-			queue: orderedHeap[*request]{less: before}})
+		n.tightest = min(n.tightest, c.Aim)
+	}
+	old := n.byName
+	n.byName = map[string]*class{}
+	for _, told := range set.Classes {
+		c := old[told.Name]
+		if c == nil || c.Class != told {
+			guess := float64(n.tightest) / firstGuess
+			was := c
+			c = &class{Class: told, run: guess, size: guess, queue: orderedHeap[*request]{less: before}}
+			if was != nil { // what was learned of the work still holds
+				c.run, c.size, c.samples = was.run, was.size, was.samples
+			}
+		}
+		n.byName[told.Name] = c
+		if !slices.Contains(n.classes, c) {
+			n.classes = append(n.classes, c)
+		}
 	}
 	// Worth is told per unit of work where it counts so. With one mean size for all at the start, the
 	// tighter aim is the tighter slowdown.
@@ -96,12 +125,10 @@
 		}
 		return a.Aim < b.Aim
 	})
-	for i, c := range n.classes {
-		n.byName[c.Name] = i
+	for _, c := range n.classes {
 		least := max(n.classes[len(n.classes)-1].Worth, 1/math.MaxFloat64)
 		c.allowance = int(min(max(math.Round(c.Worth/least), 1), allowanceMax))
 	}
-	return n, nil
 }
 
 // Handle takes the events of one moment and returns what is to be done, in order. The slice
@@ -172,14 +199,13 @@
 	if _, known := n.requests[e.ID]; known {
 		return
 	}
-	i, ok := n.byName[e.Class]
-	if !ok {
+	c := n.byName[e.Class]
+	if c == nil {
 		n.do(Refuse{ID: e.ID}) // a class nobody told us of: safe, since it is never started
 		return
 	}
 	n.seq++
-	c := n.classes[i]
-	r := &request{Arrived: e, class: i, seq: n.seq, reached: n.now - max(e.Waited, 0)}
+	r := &request{Arrived: e, class: c, seq: n.seq, reached: n.now - max(e.Waited, 0)}
 	r.due = r.reached + c.Deadline
 	if e.Left > 0 {
 		r.due = n.now + e.Left
@@ -228,7 +254,7 @@
 	r.state = held
 	n.held++
 	n.remember(r)
-	n.classes[r.class].queue.push(r)
+	r.class.queue.push(r)
 	n.watch(r)
 	n.guardMemory()
 }
@@ -247,7 +273,7 @@
 	if o == r {
 		o = nil
 	}
-	if n.classes[r.class].Safety == Safe {
+	if r.class.Safety == Safe {
 		return n.settleShared(r, o)
 	}
 	// Guards against a second effect, whatever brings the repeat: a try still held gives way to
@@ -309,7 +335,7 @@
 // remember ties later tries to this one: at the reading, since two held tries that nobody tied
 // would both run. A keyed entry lives for the whole window.
 func (n *Instance) remember(r *request) {
-	c := n.classes[r.class]
+	c := r.class
 	span := r.due - n.now
 	switch {
 	case c.Safety == Keyed:
@@ -346,7 +372,7 @@
 	if r.repeat || r.ran {
 		n.do(Fail{ID: r.ID})
 	} else {
-		c := n.classes[r.class]
+		c := r.class
 		c.refused++
 		if r.state == calling || !n.mayStart(c) {
 			c.refusedBelow++
@@ -388,9 +414,9 @@
 	}
 	n.memory -= r.KB
 	r.state, r.ended = over, n.now
-	if !r.ran || (n.classes[r.class].Safety == Safe && !r.good) {
+	if !r.ran || (r.class.Safety == Safe && !r.good) {
 		n.dropEntry(r, true)
-	} else if r.stored && n.classes[r.class].Safety == Safe {
+	} else if r.stored && r.class.Safety == Safe {
 		n.at(moment{at: n.now + n.set.FreshFor, r: r, entry: true})
 	}
 	n.settleTail(r)
@@ -443,7 +469,7 @@
 }
 
 func (n *Instance) learn(r *request, took float64) {
-	c := n.classes[r.class]
+	c := r.class
 	c.ended++
 	if c.samples++; c.samples > 1/learnRate {
 		took = min(took, outlierMost*c.run) // one dear request is no slow server; several in a row are
@@ -476,7 +502,7 @@
 // estimate is the run that a request would have if started now. With hints it is the learned
 // line through the mean: waits do not grow with the size, and a rough hint says little.
 func (n *Instance) estimate(r *request) time.Duration {
-	c := n.classes[r.class]
+	c := r.class
 	run := c.run
 	if r.Size > 0 && c.sizeVar > 0 {
 		slope := min(max(c.sizeRun/c.sizeVar, 0), c.run/c.size)
@@ -488,7 +514,7 @@
 // profitEnd is when an answer stops earning: the aim where late answers earn nothing.
 func (n *Instance) profitEnd(r *request) time.Duration {
 	end := r.aim
-	if n.classes[r.class].LateValue > 0 {
+	if r.class.LateValue > 0 {
 		end = r.due
 	}
 	if n.draining {
@@ -532,7 +558,7 @@
 	for n.line.len() > 0 && n.line.top().at <= n.now {
 		m := n.line.pop()
 		if m.entry {
-			n.dropEntry(m.r, n.classes[m.r.class].Safety == Safe)
+			n.dropEntry(m.r, m.r.class.Safety == Safe)
 			continue
 		}
 		r := m.r
@@ -553,6 +579,7 @@
 
 func (n *Instance) endWindow() {
 	n.bound = 0
+	n.classes = slices.DeleteFunc(n.classes, func(c *class) bool { return c != n.byName[c.Name] && c.queue.len() == 0 })
 	n.retune()
 	seen, refused := 0, 0
 	for _, c := range n.classes {
@@ -568,7 +595,7 @@
 	t := n.recent
 	n.retryShare = t.resent / max(t.arrived, 1)
 	n.readShare = t.reading / max(t.reading+t.runs, 1)
-	n.tellHealth(t.reading/max(t.arrived, 1), seen)
+	n.tellHealth(t.reading/max(t.arrived, 1)/float64(n.tightest), seen)
 	n.closeIdle()
 	n.advise(float64(refused) / float64(max(seen, refused, 1)))
 	n.recent = traffic{t.arrived * keepOld, t.resent * keepOld, t.reading * keepOld, t.runs * keepOld}
@@ -870,7 +897,7 @@
 
 // call makes the call that a request stands at, leaves it out, or ends the request.
 func (n *Instance) call(r *request) {
-	c := n.classes[r.class]
+	c := r.class
 	r.retryAt = 0
 	if r.answered {
 		return // it ends by itself
@@ -1005,10 +1032,10 @@
 		return
 	}
 	unrun := e.Outcome == Full || e.Outcome == Unreached || e.Outcome == Moot
-	if e.Outcome == Full && n.classes[r.class].SkipWorth > 0 {
+	if e.Outcome == Full && r.class.SkipWorth > 0 {
 		unrun = false // the room below goes to those that can't do without
 	}
-	if e.Outcome == CutOff && n.classes[r.class].Safety == Safe {
+	if e.Outcome == CutOff && r.class.Safety == Safe {
 		unrun = r.tries == 1 // whatever ran may run again: one more try before the call is left out
 	}
 	wait := callBackoff << min(r.tries, 2)
@@ -1020,7 +1047,7 @@
 		if e.Outcome == Full {
 			n.needyEnd = n.now + 2*wait // it can't be left out and found no room: the others leave it theirs
 		}
-	case n.classes[r.class].SkipWorth > 0:
+	case r.class.SkipWorth > 0:
 		n.skip(r)
 	default:
 		n.turnAway(r)
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -823,3 +823,34 @@
 	}
 	r.want(r.do(Arrived{ID: 50, Class: "iron", KB: 1, Waited: 990 * ms, Left: 2000 * ms}, gauges(1, 2, 0)), "Refuse 50")
 }
+
+// Settings change while requests are open: one of a class that went still runs by what it came with, one that comes
+// after is refused, and the new class is served. Faulty settings change nothing.
+func TestClassesComeAndGo(t *testing.T) {
+	r := newRig(t, nil)
+	full(r)
+	r.do(iron(3), gold(4))
+	set := testSettings()
+	set.Classes[1].Deadline = 0
+	if r.n.Adopt(set) == nil {
+		t.Error("a class without a deadline was taken")
+	}
+	set = testSettings()
+	set.Classes[0].Name, set.Classes[1].Worth = "tin", 3 // iron went, gold is worth less
+	if err := r.n.Adopt(set); err != nil {
+		t.Fatal(err)
+	}
+	tin := iron(6)
+	tin.Class = "tin"
+	r.want(r.after(ms, iron(5), tin), "Refuse 5")
+	r.want(starts(r.after(ms, done(1))), "Start 4")
+	r.want(starts(r.after(ms, done(2))), "Start 6") // the old class has had its turn
+	if len(r.n.classes) != 4 {
+		t.Errorf("%d classes", len(r.n.classes))
+	}
+	r.want(starts(r.after(ms, done(4))), "Start 3")
+	r.after(windowSpan, done(3))
+	if len(r.n.classes) != 2 {
+		t.Errorf("%d classes are kept when none of the old ones is held", len(r.n.classes))
+	}
+}
--- a/policy/state.go
+++ b/policy/state.go
@@ -21,7 +21,7 @@
 
 type request struct {
 	Arrived
-	class    int
+	class    *class
 	state    state
 	seq      uint64
 	reached  time.Duration // when it reached the machine
@@ -83,7 +83,7 @@
 	set      Settings
 	rng      *rand.Rand
 	classes  []*class // in priority order
-	byName   map[string]int
+	byName   map[string]*class
 	requests map[ID]*request
 	line     orderedHeap[moment]
 	arrivals []*request
@@ -116,8 +116,9 @@
 	readShare  float64 // share of unread waits in the time of recent requests
 	retryShare float64 // share of further tries in recent arrivals
 
-	unreadMost float64 // mean unread wait from which the server leaves the list
-	sick       bool    // it has left
+	tightest   time.Duration // the least aim
+	unreadMost float64       // mean unread wait from which the server leaves the list, as a part of that
+	sick       bool          // it has left
 
 	shed float64 // share of the usual traffic that callers were told to keep away
 
