--- a/policy/policy.go
+++ b/policy/policy.go
@@ -103,9 +103,8 @@
 	n.byName = map[string]*class{}
 	for _, told := range set.Classes {
 		c := old[told.Name]
-		if c == nil || c.Class != told {
+		if was := c; was == nil || was.Class != told {
 			guess := float64(n.tightest) / firstGuess
-			was := c
 			c = &class{Class: told, run: guess, size: guess, queue: orderedHeap[*request]{less: before}}
 			if was != nil { // what was learned of the work still holds
 				c.run, c.size, c.samples = was.run, was.size, was.samples
@@ -579,7 +578,8 @@
 
 func (n *Instance) endWindow() {
 	n.bound = 0
-	n.classes = slices.DeleteFunc(n.classes, func(c *class) bool { return c != n.byName[c.Name] && c.queue.len() == 0 })
+	n.classes = slices.DeleteFunc(n.classes, // those that went, once none is held
+		func(c *class) bool { return c != n.byName[c.Name] && c.queue.len() == 0 })
 	n.retune()
 	seen, refused := 0, 0
 	for _, c := range n.classes {
