Keep room below for calls that can't be left out, and forget stale call times

Optional calls fill the room of the rule's whole span (5 s) within a second of the onset, and calls that can't be left out wait for it with the rest (call and callRoom). And callRun is corrected by calls that return only: with 107 ms learned and no call made (windows of n0 with made 0) it stood for seconds after the vault was fast again. In one server that is a few calls; here all 206 learn and wait alike.

Change: optional calls leave the others twice what these are likely to take at the learned time, half of the room at most; a window that leaves out more calls than return shrinks the learned time, down to where an optional call is waited for one backoff.

Both tests of the module fail without their part.

--- a/policy/guard_test.go
+++ b/policy/guard_test.go
@@ -501,6 +501,69 @@
 	r.want(r.after(ms, CallNeeded{3}), "Skip 3")
 }
 
+// mixedBelow is a shared dependency whose calls gold can't leave out and iron can.
+func mixedBelow(s *Settings) {
+	sharedBelow(s)
+	for i := range s.Classes {
+		if s.Classes[i].Name == "iron" {
+			s.Classes[i].SkipWorth = 0.3
+		}
+	}
+}
+
+// In a slow spell calls that could be left out took the room of the whole span, and requests whose calls
+// could not be failed for seconds.
+func TestOptionalCallsLeaveRoomToThoseThatCant(t *testing.T) {
+	r := newRig(t, mixedBelow)
+	id, out := ID(0), 0
+	slow := func(a Arrived) bool {
+		id++
+		a.ID = id
+		r.do(a)
+		if !has(r.do(CallNeeded{id}), fmt.Sprint("Call ", id)) {
+			r.after(10*ms, done(id))
+			return false
+		}
+		r.after(100*ms, CallReturned{ID: id, Outcome: OK, Took: 100 * ms}, done(id))
+		return true
+	}
+	for range 40 { // some five spans of the rule; the optional calls alone would fill the room
+		r.after(400 * ms)
+		for range 3 {
+			if slow(iron(0)) {
+				out++
+			}
+		}
+		if !slow(gold(0)) {
+			t.Fatalf("at %v no room for a call that can't be left out", r.now)
+		}
+	}
+	if out < 10 {
+		t.Errorf("%d optional calls made, though there was room", out)
+	}
+}
+
+// A slow spell taught a long time for a call; calls were left out for it long after the spell, since what is
+// left out takes no time that could correct it.
+func TestTimeOfCallsIsForgottenWhileTheyAreLeftOut(t *testing.T) {
+	r := newRig(t, mixedBelow)
+	learned := float64(700 * ms)
+	r.n.callRun = learned
+	r.after(2 * time.Second)
+	if r.n.callRun != learned {
+		t.Errorf("forgotten though no call was left out: %v", time.Duration(r.n.callRun))
+	}
+	for id := ID(1); id < 200; id++ {
+		r.n.breakEnd = r.now + time.Second // what leaves it out here is the breaker
+		r.do(iron(id))
+		r.want(r.do(CallNeeded{id}), fmt.Sprint("Skip ", id))
+		r.after(100*ms, done(id))
+	}
+	if got, want := time.Duration(r.n.callRun), callBackoff/skipPatience; got != want {
+		t.Errorf("after 20 s without a call: %v, want %v", got, want)
+	}
+}
+
 // A reply that came spoilt proves nothing: only what may run twice makes its call again, and once.
 func TestSpoiltCallIsMadeOnceMoreWhereThatIsSafe(t *testing.T) {
 	r := newRig(t, nil)
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -54,6 +54,8 @@
 	belowPart     = 0.8                   // part of the told share of calls below that is used
 	skipPatience  = 8                     // an optional call is waited for so many learned call times
 	callParts     = 21                    // parts in which their time is kept, one more than fill the span
+	needyMargin   = 2                     // room below kept for so many times the need of calls that can't
+	needyMost     = 0.5                   // be left out, since counts are small, and at most this part of it
 	callPatience  = 4                     // a call below is made with room for so many learned call times
 )
 
@@ -219,6 +221,9 @@
 	c.seen++
 	n.recent.arrived++
 	n.recent.reading += float64(n.now - r.reached)
+	if c.Calls && c.SkipWorth == 0 {
+		n.recent.needy++
+	}
 	c.fullWait = max(c.fullWait, e.Left+max(e.Waited, 0))
 	shorter := e.Left > 0 && float64(e.Left+max(e.Waited, 0)) < float64(c.fullWait)*fullWaitShare
 	// Where further tries are marked, a short wait proves nothing: guards against clients of unlike patience.
@@ -389,8 +394,7 @@
 // comeBack is the advice that goes with a refusal; it goes on to clients, which no hint reaches. Each refusal
 // has some: one without it comes back at once, to the same full hold.
 func (n *Instance) comeBack() time.Duration {
-	pause := max(time.Duration(n.shed*pauseShare*float64(n.set.MaxPause)), pauseLeast)
-	return min(pause, n.set.MaxPause)
+	return min(max(time.Duration(n.shed*pauseShare*float64(n.set.MaxPause)), pauseLeast), n.set.MaxPause)
 }
 
 // close ends a request's books; those that follow it are served, failed or held by what it left.
@@ -577,7 +581,6 @@
 }
 
 func (n *Instance) endWindow() {
-	n.bound = 0
 	n.classes = slices.DeleteFunc(n.classes, // those that went, once none is held
 		func(c *class) bool { return c != n.byName[c.Name] && c.queue.len() == 0 })
 	n.retune()
@@ -592,13 +595,18 @@
 		}
 		c.seen, c.refused, c.refusedBelow, c.ended = 0, 0, 0, 0
 	}
+	if n.leftOut > n.timed { // what is left out never corrects its time; the wait stays a backoff at least
+		n.callRun = max(n.callRun*forgetRate, min(n.callRun, float64(callBackoff/skipPatience)))
+	}
+	n.bound, n.leftOut, n.timed = 0, 0, 0
 	t := n.recent
 	n.retryShare = t.resent / max(t.arrived, 1)
 	n.readShare = t.reading / max(t.reading+t.runs, 1)
 	n.tellHealth(t.reading/max(t.arrived, 1)/float64(n.tightest), seen)
 	n.closeIdle()
 	n.advise(float64(refused) / float64(max(seen, refused, 1)))
-	n.recent = traffic{t.arrived * keepOld, t.resent * keepOld, t.reading * keepOld, t.runs * keepOld}
+	n.recent = traffic{t.arrived * keepOld, t.resent * keepOld, t.reading * keepOld, t.runs * keepOld,
+		t.needy * keepOld}
 	n.windowEnd = n.now + windowSpan
 }
 
@@ -707,9 +715,7 @@
 }
 
 func (n *Instance) reading(e Woke) {
-	if e.Token == n.wakes {
-		n.waking = false
-	}
+	n.waking = n.waking && e.Token != n.wakes
 	g := func(i int) float64 {
 		if i < 0 || i >= len(e.Gauges) {
 			return -1
@@ -719,11 +725,7 @@
 	busy := g(n.set.BusyGauge)
 	n.runnable = g(n.set.RunnableGauge)
 	n.moved = 0
-	if busy >= busyHigh {
-		n.paused = true
-	} else if busy <= busyLow {
-		n.paused = false
-	}
+	n.paused = busy >= busyHigh || n.paused && busy > busyLow
 }
 
 // warmth is 1 once the machine is surely warm.
@@ -757,10 +759,7 @@
 	if n.runnable >= 0 {
 		onCores = min(onCores, n.runnable+float64(n.moved))
 	}
-	if onCores < floorPerCore*float64(n.set.Cores) {
-		return true
-	}
-	return !n.paused && n.bound < (n.set.Cores+1)/2
+	return onCores < floorPerCore*float64(n.set.Cores) || !n.paused && n.bound < (n.set.Cores+1)/2
 }
 
 // nextQueue is the scan of the round: the first class with held work and allowance left.
@@ -861,7 +860,6 @@
 // that come too late for another server to help: a skewed spread, a slow machine, a burst. A smaller hold
 // refuses in bursts of half a second that reach all servers, where no other has room either. While
 // the fleet is short an early refusal would only be read elsewhere, so the hold is not bounded then.
-//
 // A class that can't make its calls now has a hold of its own, lest it fill that of the others.
 func (n *Instance) guardHold() {
 	if n.short() {
@@ -907,9 +905,10 @@
 		n.turnAway(r) // PAPER: what earns nothing is dropped
 		return
 	}
-	patience := n.callRoom()
-	if patience == 0 && c.SkipWorth > 0 {
-		n.skip(r) // a part of the worth now, where the calls in hand leave no room for one more
+	patience := n.callRoom(c)
+	if c.SkipWorth > 0 && (patience == 0 || n.now < max(n.breakEnd, n.needyEnd) || r.tries > 1) {
+		n.leftOut++ // a part of the worth now, where there is no room for one more
+		n.skip(r)
 		return
 	}
 	if patience == 0 {
@@ -918,10 +917,6 @@
 		return
 	}
 	if c.SkipWorth > 0 {
-		if n.now < max(n.breakEnd, n.needyEnd) || r.tries > 1 {
-			n.skip(r)
-			return
-		}
 		left = time.Duration(min(float64(left)*skipAfter, skipPatience*n.callRun))
 	}
 	if n.callFails >= breakAfter && n.now >= n.breakEnd {
@@ -938,13 +933,19 @@
 // share against more calls in hand than it survives, whatever piles them up: slowness, silence, cold servers,
 // a crowd. Calls count by their time in the span of the rule, those in hand as if each were given up at its
 // end: their time never passes the part of the told share. Harmful where others leave their shares unused.
-func (n *Instance) callRoom() time.Duration {
+// Calls that can be left out leave the others what these are likely to take: guards against a slow spell
+// below in which the former fill the room of the whole span and requests of the latter fail.
+func (n *Instance) callRoom(c *class) time.Duration {
 	span := float64(n.set.CallSpan)
 	if n.set.BelowShare <= 0 || span <= 0 {
 		return math.MaxInt64
 	}
 	n.countCalls()
 	most := belowPart * n.set.BelowShare * span
+	if c.SkipWorth > 0 {
+		needy := n.recent.needy * (1 - keepOld) / float64(windowSpan) // such calls that come in a nanosecond
+		most -= min(needyMargin*needy*span*n.callRun, needyMost*most)
+	}
 	owed := float64(n.callEnds) - float64(n.inHand)*float64(n.now-n.born)
 	wait := most - n.callTime - max(owed, 0) - float64(n.inHand+1)*float64(n.set.Linger)
 	if n.inHand == 0 {
@@ -995,7 +996,7 @@
 // mayStart tells whether a run of the class could make its calls now: one that can't would hold memory
 // and a place for nothing.
 func (n *Instance) mayStart(c *class) bool {
-	return !c.Calls || c.SkipWorth > 0 || n.now >= n.breakEnd && n.callRoom() > 0
+	return !c.Calls || c.SkipWorth > 0 || n.now >= n.breakEnd && n.callRoom(c) > 0
 }
 
 func (n *Instance) skip(r *request) {
@@ -1023,6 +1024,7 @@
 	n.callOver(r, e.Outcome == TimedOut)
 	if e.Outcome == OK || e.Outcome == TimedOut {
 		n.callRun += learnRate * (float64(e.Took) - n.callRun)
+		n.timed++
 	}
 	if e.Outcome == OK {
 		n.leaveCall(r)
@@ -1031,10 +1033,8 @@
 	if r.answered {
 		return
 	}
-	unrun := e.Outcome == Full || e.Outcome == Unreached || e.Outcome == Moot
-	if e.Outcome == Full && r.class.SkipWorth > 0 {
-		unrun = false // the room below goes to those that can't do without
-	}
+	// The room of a full one below goes to those that can't do without.
+	unrun := e.Outcome == Full && r.class.SkipWorth == 0 || e.Outcome == Unreached || e.Outcome == Moot
 	if e.Outcome == CutOff && r.class.Safety == Safe {
 		unrun = r.tries == 1 // whatever ran may run again: one more try before the call is left out
 	}
--- a/policy/state.go
+++ b/policy/state.go
@@ -76,6 +76,7 @@
 	resent  float64 // of these, further tries
 	reading float64 // time between reaching the machine and being read
 	runs    float64 // time of runs that ended
+	needy   float64 // arrivals whose calls can't be left out
 }
 
 // Instance decides for one server. It is not safe for concurrent use.
@@ -132,4 +133,6 @@
 	callFails int // in a row
 	breakEnd  time.Duration
 	needyEnd  time.Duration // until when optional calls are left out for those that can't be
+	leftOut   int           // calls of this window that were left out
+	timed     int           // and calls that came back in it with their time
 }
