Move buffers and mailboxes into packages of their own, below the core

Need: no package imports one above it, and the core took internal/net/pool; the sessions of duties want the mailbox too. Change: internal/pool and internal/mailbox; nothing else differs. Checked: the tests with the race detector.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -9,7 +9,8 @@
 	"github.com/rs/zerolog"
 
 	"puffinsaddle/internal/clock"
-	"puffinsaddle/internal/net/pool"
+	"puffinsaddle/internal/mailbox"
+	"puffinsaddle/internal/pool"
 	"puffinsaddle/policy"
 )
 
@@ -31,7 +32,7 @@
 	below  Below
 	ledger Ledger
 
-	inbox *mailbox[event]
+	inbox *mailbox.Box[event]
 	stop  chan struct{}
 
 	// What the fronts read.
@@ -77,7 +78,7 @@
 // New makes a core; Run has to be called for it to serve.
 func New(clk *clock.Clock, log zerolog.Logger, set policy.Settings, seed uint64, runner Runner, below Below, ledger Ledger) *Core {
 	c := &Core{clock: clk, log: log, tick: clock.Millis(set.Tick), seed: seed, runner: runner, below: below,
-		ledger: ledger, inbox: newMailbox[event](), stop: make(chan struct{}), lives: map[policy.ID]*Life{},
+		ledger: ledger, inbox: mailbox.New[event](), stop: make(chan struct{}), lives: map[policy.ID]*Life{},
 		byWire: map[string]*Life{}, keys: newKeyTable(clock.Millis(set.FreshFor))}
 	c.counts.of = map[string]*classCount{}
 	c.adopt(set)
@@ -90,7 +91,7 @@
 }
 
 // Adopt puts other settings into force, which have passed the module's check. Open requests keep their class.
-func (c *Core) Adopt(set policy.Settings) { c.inbox.put(event{set: &set}) }
+func (c *Core) Adopt(set policy.Settings) { c.inbox.Put(event{set: &set}) }
 
 func (c *Core) adopt(set policy.Settings) {
 	c.set, c.class, c.keys.fresh = set, map[string]policy.Class{}, clock.Millis(set.FreshFor)
@@ -111,7 +112,7 @@
 
 // Open takes a request in. answer is called once at most, and not after Gone was heard in time.
 func (c *Core) Open(q *Request, answer func(Outcome)) *Life {
-	l := &Life{core: c, req: q, box: newMailbox[any](), reply: answer}
+	l := &Life{core: c, req: q, box: mailbox.New[any](), reply: answer}
 	c.mu.Lock()
 	twin := c.byWire[q.ID] != nil
 	if twin || len(c.lives) >= mostOpen {
@@ -149,7 +150,7 @@
 
 // Up tells that the runner is up, and whether it started cold.
 func (c *Core) Up(cold bool) {
-	c.inbox.put(event{start: true, cold: cold})
+	c.inbox.Put(event{start: true, cold: cold})
 	c.up.Store(true)
 }
 
@@ -160,7 +161,7 @@
 func (c *Core) Away(away bool) { c.away.Store(away) }
 
 // Drain tells the module that the process will be stopped at that time.
-func (c *Core) Drain(stopAt float64) { c.inbox.put(event{drain: stopAt}) }
+func (c *Core) Drain(stopAt float64) { c.inbox.Put(event{drain: stopAt}) }
 
 // Health answers a check: from the module's setting, or where that says so by real work.
 func (c *Core) Health(deep bool, answer func(good bool)) {
@@ -195,11 +196,11 @@
 	return ok && err == nil, err
 }
 
-func (c *Core) tell(l *Life, e policy.Event) { c.inbox.put(event{life: l, event: e}) }
+func (c *Core) tell(l *Life, e policy.Event) { c.inbox.Put(event{life: l, event: e}) }
 
 // finish tells the end of a run; the owner keeps the result where others may share it.
 func (c *Core) finish(l *Life, n Notice) {
-	c.inbox.put(event{life: l, notice: n, event: policy.Finished{ID: l.id, Outcome: n.Outcome, Took: clock.Duration(n.Took)}})
+	c.inbox.Put(event{life: l, notice: n, event: policy.Finished{ID: l.id, Outcome: n.Outcome, Took: clock.Duration(n.Took)}})
 }
 
 // Stop ends Run.
@@ -212,14 +213,14 @@
 		select {
 		case <-c.stop:
 			return
-		case <-c.inbox.ready:
+		case <-c.inbox.Ready:
 		}
 		now := c.clock.Now()
 		c.last = min(c.last, now) // a clock that was set back must not stop us
 		if rest := c.last + clock.Millis(c.set.Tick) - now; rest > 0 {
 			if !c.armed {
 				c.armed = true
-				c.clock.After(rest, c.inbox.poke)
+				c.clock.After(rest, c.inbox.Poke)
 			}
 			continue
 		}
@@ -230,7 +231,7 @@
 
 // turn is one call of the module.
 func (c *Core) turn(now float64) {
-	c.batch = c.inbox.take(c.batch)
+	c.batch = c.inbox.Take(c.batch)
 	c.events = c.events[:0]
 	for _, e := range c.batch {
 		switch {
@@ -254,7 +255,7 @@
 	c.handle(now)
 	for i, e := range c.batch {
 		if _, left := e.event.(policy.CallerGone); left && !e.life.begun {
-			e.life.box.put(dismissed{})
+			e.life.box.Put(dismissed{})
 		}
 		pool.Put(e.notice.Body)
 		c.batch[i] = event{}
@@ -320,13 +321,13 @@
 	case policy.Start:
 		if l := c.life(a.ID); l != nil {
 			l.begun = true
-			l.box.put(a)
+			l.box.Put(a)
 		}
 	case policy.ShareResult:
 		if l := c.life(a.ID); l != nil {
 			l.begun = true // its end is told by the share
 			result, ok := c.keys.result(l.req)
-			l.box.put(shared{ok: ok, result: result})
+			l.box.Put(shared{ok: ok, result: result})
 		}
 	case policy.Refuse:
 		c.order(a.ID, a)
@@ -363,9 +364,9 @@
 
 // wake looks at the time at once, so that no due answer waits for the gauges, and hands these in once read.
 func (c *Core) wake(token uint64) {
-	c.inbox.put(event{})
+	c.inbox.Put(event{})
 	c.runner.Meter(func(gauges []float64) {
-		c.inbox.put(event{event: policy.Woke{Token: token, Gauges: gauges}})
+		c.inbox.Put(event{event: policy.Woke{Token: token, Gauges: gauges}})
 	})
 }
 
@@ -377,6 +378,6 @@
 
 func (c *Core) order(id policy.ID, a policy.Action) {
 	if l := c.life(id); l != nil {
-		l.box.put(a)
+		l.box.Put(a)
 	}
 }
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -12,7 +12,7 @@
 	"github.com/rs/zerolog"
 
 	"puffinsaddle/internal/clock"
-	"puffinsaddle/internal/net/pool"
+	"puffinsaddle/internal/pool"
 	"puffinsaddle/policy"
 )
 
--- a/internal/core/life.go
+++ b/internal/core/life.go
@@ -6,7 +6,8 @@
 	"sync/atomic"
 
 	"puffinsaddle/internal/clock"
-	"puffinsaddle/internal/net/pool"
+	"puffinsaddle/internal/mailbox"
+	"puffinsaddle/internal/pool"
 	"puffinsaddle/policy"
 )
 
@@ -15,7 +16,7 @@
 	core     *Core
 	id       policy.ID
 	req      *Request
-	box      *mailbox[any] // orders of the module, notices of the runner, replies from below
+	box      *mailbox.Box[any] // orders of the module, notices of the runner, replies from below
 	reply    func(Outcome)
 	class    policy.Class // the owner fills it in when the module hears of the request, and due with it
 	known    bool         // it is a class of the settings
@@ -47,7 +48,7 @@
 func (l *Life) Gone() {
 	l.goneOnce.Do(func() {
 		l.end()
-		l.box.put(callerGone{})
+		l.box.Put(callerGone{})
 	})
 }
 
@@ -100,7 +101,7 @@
 	var run *Attempt
 	var begun float64
 	for run == nil {
-		switch m := l.box.next().(type) {
+		switch m := l.box.Next().(type) {
 		case policy.Refuse:
 			l.answer(Outcome{Verdict: Refused, After: clock.Millis(m.Pause), Last: m.NoRetry, Unknown: !l.known})
 			return
@@ -138,7 +139,7 @@
 				c.tell(l, policy.Finished{ID: l.id, Outcome: policy.Moot})
 				return
 			}
-			run = &Attempt{Request: l.req, Due: l.due, Notify: func(n Notice) { l.box.put(n) }}
+			run = &Attempt{Request: l.req, Due: l.due, Notify: func(n Notice) { l.box.Put(n) }}
 			begun = c.clock.Now() // before the start, so that no result looks fresher than it is
 			c.counts.tries.Add(1)
 			c.runner.Start(run)
@@ -152,7 +153,7 @@
 	giveUp := func() {}
 	defer func() { giveUp() }()
 	for {
-		switch m := l.box.next().(type) {
+		switch m := l.box.Next().(type) {
 		case Notice:
 			if !m.Ended {
 				pool.Put(at.Body)
@@ -218,7 +219,7 @@
 		defer cancel()
 		outcome, reply := c.below.Call(ctx, l.req.ID, limit, body)
 		pool.Put(body)
-		l.box.put(returned{nth: nth, outcome: outcome, took: c.clock.Now() - begun, body: reply})
+		l.box.Put(returned{nth: nth, outcome: outcome, took: c.clock.Now() - begun, body: reply})
 	}()
 	return cancel
 }
--- a/internal/net/executor/executor.go
+++ b/internal/net/executor/executor.go
@@ -19,7 +19,7 @@
 	"github.com/rs/zerolog"
 
 	"puffinsaddle/internal/core"
-	"puffinsaddle/internal/net/pool"
+	"puffinsaddle/internal/pool"
 	"puffinsaddle/policy"
 )
 
--- a/internal/net/respfront/frame.go
+++ b/internal/net/respfront/frame.go
@@ -7,7 +7,7 @@
 	"io"
 	"strconv"
 
-	"puffinsaddle/internal/net/pool"
+	"puffinsaddle/internal/pool"
 )
 
 const (
--- a/internal/net/respfront/front.go
+++ b/internal/net/respfront/front.go
@@ -24,7 +24,7 @@
 	"puffinsaddle/internal/clock"
 	"puffinsaddle/internal/core"
 	"puffinsaddle/internal/net/accept"
-	"puffinsaddle/internal/net/pool"
+	"puffinsaddle/internal/pool"
 )
 
 const (
--- a/internal/net/uwsgi/codec.go
+++ b/internal/net/uwsgi/codec.go
@@ -12,7 +12,7 @@
 	"sort"
 	"strconv"
 
-	"puffinsaddle/internal/net/pool"
+	"puffinsaddle/internal/pool"
 )
 
 // The variables that tell what a request is. A gateway sets them itself; it must not take them from its
--- a/internal/net/uwsgi/front.go
+++ b/internal/net/uwsgi/front.go
@@ -21,7 +21,7 @@
 	"puffinsaddle/internal/config"
 	"puffinsaddle/internal/core"
 	"puffinsaddle/internal/net/accept"
-	"puffinsaddle/internal/net/pool"
+	"puffinsaddle/internal/pool"
 )
 
 const (
--- a/internal/net/uwsgi/runner.go
+++ b/internal/net/uwsgi/runner.go
@@ -17,7 +17,7 @@
 	"puffinsaddle/internal/clock"
 	"puffinsaddle/internal/config"
 	"puffinsaddle/internal/core"
-	"puffinsaddle/internal/net/pool"
+	"puffinsaddle/internal/pool"
 	"puffinsaddle/policy"
 )
 
--- a/internal/net/vault/vault.go
+++ b/internal/net/vault/vault.go
@@ -18,7 +18,7 @@
 	"sync"
 
 	"puffinsaddle/internal/clock"
-	"puffinsaddle/internal/net/pool"
+	"puffinsaddle/internal/pool"
 	"puffinsaddle/policy"
 )
 
