--- /dev/null
+++ b/cmd/puffinsaddle/command.go
@@ -0,0 +1,309 @@
+package main
+
+import (
+	"context"
+	crand "crypto/rand"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"text/tabwriter"
+	"time"
+
+	"github.com/alecthomas/kong"
+	"github.com/rs/zerolog"
+
+	"puffinsaddle/internal/clock"
+	"puffinsaddle/internal/config"
+	"puffinsaddle/internal/lab"
+	"puffinsaddle/internal/net/session"
+	"puffinsaddle/internal/state"
+)
+
+// Exit statuses of commands.
+const (
+	good  = 0
+	bad   = 1 // what was asked for did not come about, or an invariant is broken
+	wrong = 2 // wrong use, or a faulty file
+)
+
+const operatorsWait = 10 * time.Second // for a copy that leads to be found, and to answer
+
+type cli struct {
+	Serve  struct{}  `cmd:"" help:"Serve as one order server, set up by RELAY_CONFIG; what the bare program does."`
+	Duty   dutyCmd   `cmd:"" help:"See and steer duties that one order server holds at a time."`
+	Config configCmd `cmd:"" help:"Check configuration."`
+	Lab    lab.Cmd   `cmd:"" help:"Start many processes of the program with faults between them, and check what they did."`
+}
+
+type dutyCmd struct {
+	List   listCmd   `cmd:"" help:"List the duties and who holds them."`
+	Show   showCmd   `cmd:"" help:"Show one duty."`
+	Yield  yieldCmd  `cmd:"" help:"Ask the holder of a duty to hand it on."`
+	Freeze freezeCmd `cmd:"" help:"Ask the holder to give a duty up, and let nobody have it."`
+}
+
+// with is what the commands on duties share.
+type with struct {
+	Operator string `required:"" env:"PUFFINSADDLE_OPERATOR" type:"existingfile" help:"An operator's file that names the copies."`
+	JSON     bool   `name:"json" help:"Print JSON."`
+}
+
+type (
+	listCmd struct{ with }
+	showCmd struct {
+		with
+		Name string `arg:"" help:"The duty."`
+	}
+	yieldCmd struct {
+		with
+		Name string `arg:"" help:"The duty."`
+	}
+	freezeCmd struct {
+		with
+		Name string `arg:"" help:"The duty."`
+		Off  bool   `help:"Let it be held again."`
+	}
+	configCmd struct {
+		Check checkCmd `cmd:"" help:"Read and check files as a start would; nothing is started."`
+	}
+	checkCmd struct {
+		Config   string `env:"RELAY_CONFIG" help:"The platform's file."`
+		Operator string `env:"PUFFINSADDLE_OPERATOR" help:"An operator's file."`
+	}
+)
+
+// command carries a command line out.
+func command(args []string, out, errs io.Writer) int {
+	var c cli
+	status := -1
+	p, err := kong.New(&c, kong.Name("puffinsaddle"), kong.Description("An order server in Go."), kong.Writers(out, errs),
+		kong.Exit(func(code int) { status = code }))
+	if err != nil {
+		fmt.Fprintln(errs, "puffinsaddle:", err)
+		return wrong
+	}
+	k, err := p.Parse(args)
+	if status >= 0 {
+		return status // help was asked for
+	}
+	if err != nil {
+		fmt.Fprintln(errs, "puffinsaddle:", err)
+		return wrong
+	}
+	if k.Command() == "serve" {
+		return serve()
+	}
+	k.BindTo(out, (*io.Writer)(nil))
+	err = k.Run()
+	var use *lab.WrongUse
+	switch {
+	case err == nil:
+		return good
+	case errors.Is(err, lab.ErrBroken):
+		return bad // the report has said what
+	case errors.As(err, &use), errors.Is(err, errWrong):
+		fmt.Fprintln(errs, "puffinsaddle:", err)
+		return wrong
+	}
+	fmt.Fprintln(errs, "puffinsaddle:", err)
+	return bad
+}
+
+var errWrong = errors.New("wrong use")
+
+// talk opens a session for one command.
+func (w with) talk(do func(context.Context, *session.Client, config.Duties) error) error {
+	o, err := config.LoadOperator(w.Operator)
+	if err != nil {
+		return fmt.Errorf("%w: %v", errWrong, err)
+	}
+	if !o.Duties.On() {
+		return fmt.Errorf("%w: %s: duties.copies is missing", errWrong, w.Operator)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), operatorsWait)
+	defer cancel()
+	var b [8]byte
+	if _, err := crand.Read(b[:]); err != nil {
+		return err
+	}
+	rules := o.Duties.Rules()
+	rules.Duties, rules.Presence = nil, 0 // an operator stands for nothing
+	linked := make(chan struct{}, 1)
+	c := session.NewClient(session.Options{Me: "operator#" + hex.EncodeToString(b[:]), Copies: o.Duties.Copies, Rules: rules,
+		Seed: uint64(b[0]), Steady: clock.Steady(), Log: zerolog.Nop(), On: func(e any) {
+			if _, ok := e.(session.Linked); ok {
+				select {
+				case linked <- struct{}{}:
+				default:
+				}
+			}
+		}})
+	go c.Run(ctx)
+	for {
+		select {
+		case <-linked: // a copy that leads has answered
+		case <-ctx.Done():
+			return errors.New("no copy that leads was found")
+		}
+		if err := do(ctx, c, o.Duties); !errors.Is(err, session.ErrNotSent) {
+			return err
+		}
+	}
+}
+
+func (w with) read(ctx context.Context, c *session.Client) (d session.Duties, err error) {
+	err = c.Read(ctx, session.ReadDuties, &d)
+	if errors.Is(err, session.ErrUnconfirmed) {
+		err = session.ErrNotSent // to ask again changes nothing
+	}
+	return d, err
+}
+
+// row is a duty as operators see it.
+type row struct {
+	Duty   string  `json:"duty"`
+	Holder string  `json:"holder"`
+	Epoch  uint64  `json:"epoch"`
+	TTL    float64 `json:"ttl_ms"`
+	Frozen bool    `json:"frozen"`
+	Yield  bool    `json:"asked_to_yield"`
+	Marks  uint64  `json:"marks"`
+	Fenced uint64  `json:"fenced"`
+}
+
+func rows(d session.Duties, set config.Duties) (all []row) {
+	for _, t := range set.List {
+		r := row{Duty: t.Name, TTL: t.TTL, Frozen: d.Table.Frozen[t.Name], Marks: d.Marks[t.Name], Fenced: d.Stale[t.Name]}
+		if l := d.Table.Leases[t.Name]; l != nil {
+			r.Holder, r.Epoch, r.Yield = l.Holder, l.Epoch, l.Yield
+		}
+		all = append(all, r)
+	}
+	return all
+}
+
+func show(out io.Writer, asJSON bool, all []row, words map[string]string) error {
+	if asJSON {
+		return json.NewEncoder(out).Encode(map[string]any{"duties": all, "versions": words})
+	}
+	t := tabwriter.NewWriter(out, 2, 8, 2, ' ', 0)
+	fmt.Fprintln(t, "DUTY\tHOLDER\tEPOCH\tTTL_MS\tSTATE\tFENCED")
+	for _, r := range all {
+		state := "held"
+		switch {
+		case r.Frozen && r.Holder == "":
+			state = "frozen"
+		case r.Yield:
+			state = "asked to yield"
+		case r.Holder == "":
+			state = "nobody holds it"
+		}
+		fmt.Fprintf(t, "%s\t%s\t%d\t%.0f\t%s\t%d\n", r.Duty, orDash(r.Holder), r.Epoch, r.TTL, state, r.Fenced)
+	}
+	if err := t.Flush(); err != nil {
+		return err
+	}
+	for _, who := range slices.Sorted(maps.Keys(words)) {
+		fmt.Fprintf(out, "version at %s: %s\n", who, words[who])
+	}
+	return nil
+}
+
+func orDash(s string) string {
+	if s == "" {
+		return "-"
+	}
+	return s
+}
+
+// Run lists.
+func (l *listCmd) Run(out io.Writer) error {
+	return l.talk(func(ctx context.Context, c *session.Client, set config.Duties) error {
+		d, err := l.read(ctx, c)
+		if err != nil {
+			return err
+		}
+		return show(out, l.JSON, rows(d, set), d.Words)
+	})
+}
+
+func unknown(set config.Duties, name string) error {
+	if !set.Rules().Known(name) {
+		return fmt.Errorf("%w: no duty %q on duties.list", errWrong, name)
+	}
+	return nil
+}
+
+// Run shows one.
+func (s *showCmd) Run(out io.Writer) error {
+	return s.talk(func(ctx context.Context, c *session.Client, set config.Duties) error {
+		if err := unknown(set, s.Name); err != nil {
+			return err
+		}
+		d, err := s.read(ctx, c)
+		if err != nil {
+			return err
+		}
+		all := slices.DeleteFunc(rows(d, set), func(r row) bool { return r.Duty != s.Name })
+		return show(out, s.JSON, all, nil)
+	})
+}
+
+func (w with) order(out io.Writer, op, name, done string) error {
+	return w.talk(func(ctx context.Context, c *session.Client, set config.Duties) error {
+		if err := unknown(set, name); err != nil {
+			return err
+		}
+		if _, err := c.Do(ctx, state.Command{Op: op, Key: name}); err != nil {
+			return err
+		}
+		if w.JSON {
+			return json.NewEncoder(out).Encode(map[string]string{"duty": name, "done": done})
+		}
+		_, err := fmt.Fprintf(out, "%s: %s\n", name, done)
+		return err
+	})
+}
+
+// Run asks the holder.
+func (y *yieldCmd) Run(out io.Writer) error {
+	return y.order(out, state.Ask, y.Name, "its holder is asked to hand it on")
+}
+
+// Run freezes, or thaws.
+func (f *freezeCmd) Run(out io.Writer) error {
+	if f.Off {
+		return f.order(out, state.Thaw, f.Name, "may be held again")
+	}
+	return f.order(out, state.Freeze, f.Name, "its holder is asked to give it up, and nobody will get it")
+}
+
+// Run checks the files that are named.
+func (c *checkCmd) Run(out io.Writer) error {
+	if c.Config == "" && c.Operator == "" {
+		return fmt.Errorf("%w: neither --config nor --operator is given", errWrong)
+	}
+	if c.Config != "" {
+		if _, err := config.Load(func(key string) string {
+			return map[string]string{"RELAY_CONFIG": c.Config, "PUFFINSADDLE_OPERATOR": c.Operator}[key]
+		}); err != nil {
+			return fmt.Errorf("%w: %v", errWrong, err)
+		}
+		fmt.Fprintf(out, "%s: good\n", c.Config)
+	}
+	if c.Operator != "" {
+		o, err := config.LoadOperator(c.Operator)
+		if err != nil {
+			return fmt.Errorf("%w: %v", errWrong, err)
+		}
+		if _, _, err := inventoried(o); err != nil {
+			return fmt.Errorf("%w: %v", errWrong, err)
+		}
+		fmt.Fprintf(out, "%s: good\n", c.Operator)
+	}
+	return nil
+}
--- /dev/null
+++ b/cmd/puffinsaddle/duties.go
@@ -0,0 +1,347 @@
+package main
+
+import (
+	"context"
+	crand "crypto/rand"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"net/http"
+	"path/filepath"
+	"reflect"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+
+	"github.com/rs/zerolog"
+
+	"puffinsaddle/internal/allot"
+	"puffinsaddle/internal/clock"
+	"puffinsaddle/internal/config"
+	"puffinsaddle/internal/core"
+	work "puffinsaddle/internal/duties"
+	"puffinsaddle/internal/duty"
+	"puffinsaddle/internal/inventory"
+	"puffinsaddle/internal/net/session"
+	"puffinsaddle/internal/net/uwsgi"
+	"puffinsaddle/internal/publish"
+	"puffinsaddle/internal/state"
+	"puffinsaddle/internal/store"
+	"puffinsaddle/internal/trace"
+)
+
+const (
+	modeEvery = 250.0 // ms between two looks at the server's own state
+	leaveFor  = 100.0 // ms for what is given back at the end to be sent
+	needMore  = 1.5   // a server asks for so many times what it uses
+	needLeast = 0.25  // and for so many calls in hand at least, or it would never learn that it needs more
+)
+
+// duties is what this process holds, or would hold, with others. A nil one is off, and its methods then do nothing.
+type duties struct {
+	cfg    *config.Config
+	me     string
+	clk    *clock.Clock
+	steady *clock.Clock
+	log    zerolog.Logger
+	trace  *trace.Log
+	client *session.Client
+	keeper *work.Keeper
+	desk   *session.Desk
+	core   atomic.Pointer[core.Core]
+
+	mu        sync.Mutex
+	risen     bool
+	coldUntil float64
+	aside     bool
+	leaving   bool
+}
+
+// holding is what operators see of it.
+type holding struct {
+	Me      string               `json:"me"`
+	Linked  bool                 `json:"linked"`  // a session stands
+	Present bool                 `json:"present"` // the copies know that this process is there
+	Held    map[string]uint64    `json:"held"`    // duties held, and under which epoch
+	Fenced  uint64               `json:"fenced"`  // commands of this process refused for their epoch
+	Share   float64              `json:"share"`   // calls in hand that may be below beyond the part for being alone
+	Used    float64              `json:"used"`    // calls in hand below of late
+	Version uint64               `json:"version"` // published, in force
+	Desk    *session.DeskFigures `json:"desk,omitempty"`
+}
+
+// newDuties makes the parts; nothing is sent yet. nil: the operator's file has none.
+func newDuties(cfg *config.Config, clk *clock.Clock, log zerolog.Logger) (*duties, error) {
+	d := cfg.Operator.Duties
+	if !d.On() {
+		return nil, nil
+	}
+	var b [8]byte
+	if _, err := crand.Read(b[:]); err != nil {
+		return nil, err
+	}
+	h := &duties{cfg: cfg, me: cfg.Name + "#" + hex.EncodeToString(b[:]), clk: clk, steady: clock.Steady().Apart(cfg.Operator.Lab.Rate), log: log}
+	if path := cfg.Operator.Lab.Trace; path != "" {
+		t, err := trace.Open(path, h.me, h.steady)
+		if err != nil {
+			return nil, err
+		}
+		h.trace = t
+		t.Add(trace.Event{What: trace.Up}, 0)
+	}
+	plant := cfg.Operator.Lab.Plant
+	h.keeper = &work.Keeper{Steady: h.steady, Log: log, Trace: h.trace, Check: h.check}
+	h.client = session.NewClient(session.Options{Me: h.me, Copies: d.Copies, Rules: d.Rules(), Seed: cfg.Seed ^ uint64(b[0])<<8 ^ uint64(b[1]),
+		Steady: h.steady, Log: log, Plant: plant, On: h.keeper.On, Need: h.need})
+	k := h.keeper
+	k.Works = map[string]work.Work{}
+	for _, t := range d.List {
+		k.Works[t.Name] = k.Marks(d.MarkMs)
+	}
+	if d.Allot.Whole > 0 {
+		k.Works[work.Allotter] = k.Allots(d.Allot.EveryMs, d.Allot.Room(), plant)
+	}
+	if d.Publish.Manifest != "" {
+		k.Works[work.Publisher] = k.Publishes(d.Publish.EveryMs, d.Publish.Manifest, h.check)
+	}
+	if _, on := k.Works[work.Settler]; on {
+		k.Works[work.Settler] = k.Settles(d.Settle.EveryMs, d.Settle.KeepMs, d.Rate, h.steady)
+	}
+	return h, nil
+}
+
+// keep opens the desk, where this process keeps a copy.
+func (h *duties) keep(ctx context.Context, copy *store.Store) {
+	if copy == nil {
+		return
+	}
+	d := h.cfg.Operator.Duties
+	g := &duty.Grantor{Rules: d.Rules(), Seed: 1, Most: d.Allot.Servers, Plant: h.cfg.Operator.Lab.Plant}
+	h.desk = session.NewDesk(copy, g, d.Sessions, h.steady, h.log)
+	copy.ServeSessions(h.desk.Serve)
+	go h.desk.Run(ctx)
+}
+
+// serve begins to hold duties for a core.
+func (h *duties) serve(ctx context.Context, c *core.Core, farm *uwsgi.Runner) {
+	if h == nil {
+		return
+	}
+	h.core.Store(c)
+	if a := h.cfg.Operator.Duties.Allot; a.Whole > 0 {
+		alone := a.Room().Alone
+		c.Divide(func() float64 { return float64(alone+h.client.Share()) / allot.Unit })
+		h.keeper.Below = func(_ int64, used func()) { c.Then(used) }
+	}
+	h.keeper.Take = func(v publish.Version) {
+		servers, err := servers(v.Files)
+		if err == nil && farm != nil && len(servers) > 0 {
+			farm.Move(servers)
+		}
+	}
+	h.client.Switch(duty.Failing) // until the executor is up
+	h.keeper.Start(ctx, h.me, h.client)
+	h.look()
+}
+
+// need is what this server could use beyond its part for being alone.
+func (h *duties) need() int64 {
+	c := h.core.Load()
+	if c == nil {
+		return 0
+	}
+	want := c.Below()*needMore + needLeast
+	return max(int64(want*allot.Unit)-h.cfg.Operator.Duties.Allot.Room().Alone, 0)
+}
+
+// look puts the client into the mode that the server is in, now and then.
+func (h *duties) look() {
+	h.mu.Lock()
+	mode := duty.Warm
+	switch {
+	case h.leaving:
+		mode = duty.Draining
+	case h.aside:
+		mode = duty.Away
+	case !h.risen || !h.core.Load().Good():
+		mode = duty.Failing
+	case h.clk.Now() < h.coldUntil:
+		mode = duty.Cold
+	}
+	h.mu.Unlock()
+	h.client.Switch(mode)
+	if mode != duty.Draining {
+		h.steady.After(modeEvery, h.look)
+	}
+}
+
+// up tells that the server can serve, cold or warm.
+func (h *duties) up(cold bool, coldMs float64) {
+	if h == nil {
+		return
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if !h.risen && cold {
+		h.coldUntil = h.clk.Now() + coldMs
+	}
+	h.risen = true
+}
+
+func (h *duties) away(away bool) {
+	if h != nil {
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		h.aside = away
+	}
+}
+
+// drain hands all duties on.
+func (h *duties) drain() {
+	if h == nil {
+		return
+	}
+	h.mu.Lock()
+	h.leaving = true
+	h.mu.Unlock()
+	h.client.Switch(duty.Draining)
+}
+
+// leave gives back what is left, the presence included, at the end.
+func (h *duties) leave() {
+	if h == nil {
+		return
+	}
+	h.client.Leave()
+	sent := make(chan struct{})
+	h.steady.After(leaveFor, func() { close(sent) })
+	<-sent
+}
+
+func (h *duties) close() {
+	if h != nil {
+		h.trace.Close()
+	}
+}
+
+// watch writes down what a copy carries out.
+func (h *duties) watch() func(index, term uint64, c state.Command, r state.Result) {
+	if h == nil || h.trace == nil {
+		return nil
+	}
+	return func(index, term uint64, c state.Command, r state.Result) {
+		e := trace.Event{What: trace.Applied, Index: index, Term: term, Text: c.Op}
+		if c.Fence != nil {
+			e.Duty, e.Epoch, e.Cause = c.Fence.Name, c.Fence.Epoch, r.Error
+		}
+		if c.Op == state.Begin && r.Fresh {
+			e.Cause = c.Key
+		}
+		var grants []string
+		for i, o := range c.Orders {
+			if i < len(r.Part) && r.Part[i] == "" {
+				grants = append(grants, fmt.Sprintf("%s %s %s", o.Kind, o.Name, o.Holder))
+			}
+		}
+		if len(grants) > 0 {
+			e.Cause = strings.Join(grants, "; ")
+		}
+		h.trace.Add(e, 0)
+	}
+}
+
+func (h *duties) figures() *holding {
+	if h == nil {
+		return nil
+	}
+	f := &holding{Me: h.me, Linked: h.client.Linked(), Held: map[string]uint64{}, Fenced: h.client.Fenced(),
+		Share: float64(h.client.Share()) / allot.Unit, Version: h.keeper.InForce()}
+	_, _, f.Present = h.client.Presence()
+	for _, t := range h.cfg.Operator.Duties.List {
+		if r, ok := h.client.May(t.Name); ok {
+			f.Held[t.Name] = r.Epoch
+		}
+	}
+	if c := h.core.Load(); c != nil {
+		f.Used = c.Below()
+	}
+	if h.desk != nil {
+		v := h.desk.Figures()
+		f.Desk = &v
+	}
+	return f
+}
+
+// calls are the laboratory's, on the operators' address.
+func (h *duties) calls() map[string]http.HandlerFunc {
+	if h == nil || !h.cfg.Operator.Lab.Calls {
+		return nil
+	}
+	return map[string]http.HandlerFunc{"PUT /-/lab/jump": func(w http.ResponseWriter, r *http.Request) {
+		ms, err := strconv.ParseFloat(r.URL.Query().Get("ms"), 64)
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		h.clk.Jump(ms) // the wall clock: nothing sets a steady one
+		h.log.Warn().Float64("ms", ms).Msg("clock jumps")
+	}}
+}
+
+// check tells whether this server can take a published version whole.
+func (h *duties) check(files []publish.File) error {
+	_, err := servers(files)
+	return err
+}
+
+// Files that may be published.
+const (
+	publishedOperator  = "operator.yaml"
+	publishedInventory = "inventory"
+)
+
+// servers reads what a version says of who does the work. What else an operator's file may set takes a restart, and a
+// version that sets it is turned down whole.
+func servers(files []publish.File) ([]string, error) {
+	o, err := config.ParseOperator(nil)
+	if err != nil {
+		return nil, err
+	}
+	var hosts *inventory.Inventory
+	for _, f := range files {
+		switch stem, _, _ := strings.Cut(f.Name, "."); {
+		case f.Name == publishedOperator:
+			if o, err = config.ParseOperator(f.Text); err != nil {
+				return nil, fmt.Errorf("%s: %w", f.Name, err)
+			}
+		case stem == publishedInventory && filepath.Ext(f.Name) != "":
+			if hosts != nil {
+				return nil, fmt.Errorf("%s: a second inventory", f.Name)
+			}
+			if hosts, err = inventory.Parse(f.Name, f.Text); err != nil {
+				return nil, err
+			}
+		default:
+			return nil, fmt.Errorf("%s: neither %s nor %s.csv, .yml or .yaml", f.Name, publishedOperator, publishedInventory)
+		}
+	}
+	rest, _ := config.ParseOperator(nil)
+	rest.UWSGI.Servers, rest.Inventory, rest.Text = o.UWSGI.Servers, o.Inventory, o.Text
+	if !reflect.DeepEqual(o, rest) {
+		return nil, fmt.Errorf("%s: sets more than uwsgi.servers and inventory, which takes a restart", publishedOperator)
+	}
+	list := append([]string(nil), o.UWSGI.Servers...)
+	if o.Inventory.Group != "" {
+		if hosts == nil {
+			return nil, errors.New("inventory.group is set, and no inventory is published")
+		}
+		for _, host := range hosts.Group(o.Inventory.Group) {
+			list = append(list, host.Endpoint(o.Inventory.Port))
+		}
+		if len(list) == 0 {
+			return nil, fmt.Errorf("inventory.group: no host is in %q", o.Inventory.Group)
+		}
+	}
+	return list, nil
+}
--- a/cmd/puffinsaddle/main.go
+++ b/cmd/puffinsaddle/main.go
@@ -43,6 +43,14 @@
 )
 
 func main() {
+	if len(os.Args) > 1 {
+		os.Exit(command(os.Args[1:], os.Stdout, os.Stderr))
+	}
+	os.Exit(serve()) // the bare program, as the platform starts it
+}
+
+// serve is one order server, to the end of its drain.
+func serve() int {
 	// Caught before anything else: a notice that comes while the program starts must not end it.
 	signals := make(chan os.Signal, 8)
 	signal.Notify(signals, syscall.SIGTERM, os.Interrupt, syscall.SIGHUP)
@@ -50,14 +58,15 @@
 	cfg, err := load()
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "puffinsaddle:", err)
-		os.Exit(2)
+		return 2
 	}
 	zerolog.TimeFieldFormat = zerolog.TimeFormatUnixMs
 	log := zerolog.New(os.Stdout).With().Timestamp().Str("name", cfg.Name).Logger().Level(zerolog.InfoLevel)
 	if err := run(cfg, load, signals, log); err != nil {
 		log.Error().Err(err).Msg("stopped")
-		os.Exit(1)
+		return 1
 	}
+	return 0
 }
 
 // run wires the parts and serves until the notice to drain is carried out. load reads the configuration again.
@@ -72,7 +81,12 @@
 	if err != nil {
 		return err
 	}
-	state, err := openStore(ctx, cfg, hosts, log)
+	held, err := newDuties(cfg, clk, log)
+	if err != nil {
+		return err
+	}
+	defer held.close()
+	state, err := openStore(ctx, cfg, hosts, held, log)
 	if err != nil {
 		return err
 	}
@@ -81,11 +95,16 @@
 		defer state.Close()
 		ledger = state
 	}
+	if held != nil {
+		ledger = held.client
+		held.keep(ctx, state)
+	}
 
 	var c *core.Core
 	var rise func(cold bool)
 	var runner core.Runner
 	var link *executor.Link
+	var farm *uwsgi.Runner
 	if cfg.Executor != "" {
 		link = executor.New(cfg.Executor, log, func(cold bool, ageMs float64) { rise(cold) })
 		runner = link
@@ -93,13 +112,15 @@
 	if len(servers) > 0 { // the operator's choice of who does the work comes first
 		set := cfg.Operator.UWSGI
 		set.Servers = servers
-		runner, link = uwsgi.NewRunner(set, clk, log), nil
+		farm = uwsgi.NewRunner(set, clk, log)
+		runner, link = farm, nil
 	}
 	if runner == nil {
 		return errors.New("nobody does the work: no executor is named, and no uwsgi server is in the inventory's group")
 	}
 	calls := vault.New(cfg.Vault, clk)
 	c = core.New(clk, log, cfg.Settings, cfg.Seed, runner, calls, ledger)
+	held.serve(ctx, c, farm)
 	given, err := inherit(cfg, log)
 	if err != nil {
 		return err
@@ -128,15 +149,19 @@
 	applied, rejected := 0, 0
 	var files sync.Mutex
 	if cfg.OperatorListen != "" {
-		ops, err := operator.Listen(cfg.OperatorListen, config.OperatorConns, operator.Calls{Ready: func() bool { return ready.Load() && c.Ready() }, Drain: c.Away, Figures: func() any {
+		ops, err := operator.Listen(cfg.OperatorListen, config.OperatorConns, operator.Calls{Ready: func() bool { return ready.Load() && c.Ready() }, Drain: func(away bool) {
+			c.Away(away)
+			held.away(away)
+		}, Figures: func() any {
 			files.Lock()
 			defer files.Unlock()
 			return struct {
 				core.Figures
-				Applied  int `json:"config_applied"`
-				Rejected int `json:"config_rejected"`
-			}{c.Figures(), applied, rejected}
-		}}, log)
+				Applied  int      `json:"config_applied"`
+				Rejected int      `json:"config_rejected"`
+				Duties   *holding `json:"duties,omitempty"`
+			}{c.Figures(), applied, rejected, held.figures()}
+		}, More: held.calls()}, log)
 		if err != nil {
 			return err
 		}
@@ -148,6 +173,7 @@
 	up := make(chan struct{}, 1)
 	rise = func(cold bool) {
 		c.Up(cold)
+		held.up(cold, clock.Millis(cfg.Settings.Cold))
 		select {
 		case up <- struct{}{}:
 		default:
@@ -191,19 +217,23 @@
 			case !draining && offer.Taken():
 				draining = true
 				log.Info().Msg("replaced")
+				held.drain()
 				go func() {
 					c.Yield(doors...)
+					held.leave()
 					close(left)
 				}()
 			case !draining:
 				draining = true
 				log.Info().Float64("stop_ms", cfg.StopMs).Msg("draining")
 				reporter.Leave()
+				held.drain()
 				if state != nil {
 					go func() { note(log, state.Set(drainMark+cfg.Name, []byte("draining"))) }() // the drain waits for no quorum
 				}
 				go func() {
 					c.Leave(cfg.StopMs, doors...)
+					held.leave()
 					close(left)
 				}()
 			}
@@ -326,7 +356,7 @@
 
 // openStore opens the replicated store where the operator's file has one, and writes to it what this server
 // was set up with as soon as there is a quorum. Serving does not wait for that.
-func openStore(ctx context.Context, cfg *config.Config, hosts *inventory.Inventory, log zerolog.Logger) (*store.Store, error) {
+func openStore(ctx context.Context, cfg *config.Config, hosts *inventory.Inventory, held *duties, log zerolog.Logger) (*store.Store, error) {
 	set := cfg.Operator.Store
 	if set.Listen == "" {
 		return nil, nil
@@ -334,10 +364,16 @@
 	if set.ID == "" {
 		set.ID = cfg.Name
 	}
-	s, err := store.Open(store.Options{ID: set.ID, Listen: set.Listen, Dir: set.Dir, Peers: set.Peers, Log: log})
+	via := map[string]string{}
+	for id, at := range set.Via {
+		via[set.Peers[id]] = at
+	}
+	s, err := store.Open(store.Options{ID: set.ID, Listen: set.Listen, Dir: set.Dir, Peers: set.Peers, Via: via, Log: log,
+		Watch: held.watch(), Plant: cfg.Operator.Lab.Plant})
 	if err != nil {
 		return nil, err
 	}
+	log.Info().Str("id", set.ID).Str("at", s.Addr()).Msg("serving the store")
 	go func() {
 		if err := s.Ready(ctx); err != nil {
 			return // stopped before there was a leader
--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -2,9 +2,13 @@
 package clock
 
 import (
+	"math"
 	"sort"
 	"sync"
+	"sync/atomic"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // Clock tells the time and calls back at times to come. A clock made by Manual stands still until it is set.
@@ -13,6 +17,11 @@
 	manual bool
 	now    float64
 	timers []*Timer
+
+	steady bool
+	rate   float64       // of a clock that is made to run apart; 0: it is not
+	from   float64       // when it began to
+	jump   atomic.Uint64 // bits of what it was set ahead by since
 }
 
 // Timer is a call to come.
@@ -26,13 +35,54 @@
 // System is the system's Unix clock.
 func System() *Clock { return &Clock{} }
 
+// Steady is a clock that nothing sets: ms since the machine's start, with the time in which the machine was suspended. It
+// is for spans that others rely on; a wall clock that is set back would lengthen them.
+func Steady() *Clock { return &Clock{steady: true} }
+
+// Apart makes a clock run at a rate, 1 for as it does, from now on; for the laboratory.
+func (c *Clock) Apart(rate float64) *Clock {
+	if !c.manual && rate > 0 && rate != 1 {
+		c.from = c.raw()
+		c.rate = rate
+	}
+	return c
+}
+
+// Jump sets a clock ahead, or back; for the laboratory.
+func (c *Clock) Jump(ms float64) {
+	c.jump.Store(math.Float64bits(math.Float64frombits(c.jump.Load()) + ms))
+}
+
+// Rate is the rate at which the clock was made to run.
+func (c *Clock) Rate() float64 {
+	if c.rate > 0 {
+		return c.rate
+	}
+	return 1
+}
+
+func (c *Clock) raw() float64 {
+	if !c.steady {
+		return float64(time.Now().UnixNano()) / 1e6
+	}
+	var t unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &t); err != nil {
+		panic(err) // every kernel that this runs on has it
+	}
+	return float64(t.Nano()) / 1e6
+}
+
 // Manual is a clock for tests.
 func Manual(now float64) *Clock { return &Clock{manual: true, now: now} }
 
-// Now is the time in Unix milliseconds.
+// Now is the time in milliseconds: Unix time, or a steady clock's.
 func (c *Clock) Now() float64 {
 	if !c.manual {
-		return float64(time.Now().UnixNano()) / 1e6
+		now := c.raw()
+		if c.rate > 0 {
+			now = c.from + (now-c.from)*c.rate
+		}
+		return now + math.Float64frombits(c.jump.Load())
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -42,7 +92,7 @@
 // After calls back, on another goroutine or from Set, once so many milliseconds have passed.
 func (c *Clock) After(ms float64, call func()) *Timer {
 	if !c.manual {
-		return &Timer{real: time.AfterFunc(Duration(max(ms, 0)), call)}
+		return &Timer{real: time.AfterFunc(Duration(max(ms, 0)/c.Rate()), call)}
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- /dev/null
+++ b/internal/config/duties_test.go
@@ -0,0 +1,60 @@
+package config
+
+import (
+	"strings"
+	"testing"
+)
+
+const dutiesText = `
+store: {listen: "127.0.0.1:7400", dir: x, peers: {n1: "127.0.0.1:7400", n2: "127.0.0.1:7401", n3: "127.0.0.1:7402"}}
+duties:
+  copies: {n1: "127.0.0.1:7400", n2: "127.0.0.1:7401", n3: "127.0.0.1:7402"}
+  list: [{name: allotter, ttl_ms: 3000}, {name: publisher, ttl_ms: 3000}]
+  allot: {whole: 40, alone: 1, servers: 20}
+  publish: {manifest: SUMS}
+`
+
+func TestDutiesAreOffUnlessSet(t *testing.T) {
+	o, err := ParseOperator(nil)
+	if err != nil || o.Duties.On() {
+		t.Fatalf("%v %v", o.Duties.On(), err)
+	}
+	if o, err = ParseOperator([]byte(dutiesText)); err != nil || !o.Duties.On() || o.Duties.Allot.Room().Pool() != 20000 {
+		t.Fatalf("%+v %v", o.Duties, err)
+	}
+}
+
+func TestFaultyDutiesAreRefusedWithTheirKey(t *testing.T) {
+	for _, c := range []struct{ old, now, want string }{
+		{`{name: allotter, ttl_ms: 3000}`, `{name: allotter}`, "duties.list[0].ttl_ms must be above 0, not 0"},
+		{`{name: allotter, ttl_ms: 3000}`, `{name: allotter, ttl_ms: -5}`, "duties.list[0].ttl_ms must be above 0, not -5"},
+		{`{name: allotter, ttl_ms: 3000}`, `{name: allotter, ttl_ms: .nan}`, "duties.list[0].ttl_ms must be above 0, not NaN"},
+		{`{name: allotter, ttl_ms: 3000}`, `{name: allotter, ttl_ms: 1000}`, "duties.list[0].ttl_ms of 1000 ms leaves a holder 850 ms"},
+		{`{name: allotter, ttl_ms: 3000}`, `{name: allotter, ttl: 3000}`, "field ttl not found"},
+		{`{name: allotter, ttl_ms: 3000}, `, ``, "duties.list has no allotter, and duties.allot is set"},
+		{`, {name: publisher, ttl_ms: 3000}`, ``, "duties.list has no publisher"},
+		{`whole: 40`, `whole: 10`, "duties.allot.alone: 1 for each of 20 servers is over the whole of 10"},
+		{`whole: 40`, `whole: .inf`, "duties.allot.whole must be above 0"},
+		{`servers: 20`, `servers: 0`, "duties.allot.servers must be 1 or more"},
+		{"  copies: {n1: \"127.0.0.1:7400\", n2: \"127.0.0.1:7401\", n3: \"127.0.0.1:7402\"}\n", "", "duties.copies is missing"},
+		{"n3: \"127.0.0.1:7402\"}\n  list", "n3: \"127.0.0.1:7401\"}\n  list", "duties.copies.n3: 127.0.0.1:7401 is the address of n2 already"},
+		{", n3: \"127.0.0.1:7402\"}\n  list", "}\n  list", "duties.copies names 2 copies: only 3, 5 or 7 have a majority"},
+		{"n3: \"127.0.0.1:7402\"}\n  list", "n4: \"127.0.0.1:7402\"}\n  list", "duties.copies: n3 of store.peers is missing"},
+		{"n3: \"127.0.0.1:7402\"}\n  list", "n3: nowhere}\n  list", "duties.copies.n3: address nowhere"},
+		{"n3: \"127.0.0.1:7402\"}}\n", "n3: \"127.0.0.1:7401\"}}\n", "store.peers.n3: 127.0.0.1:7401 is the address of n2 already"},
+		{"dir: x", "dir: x, via: {n9: \"127.0.0.1:1\"}", "store.via.n9: no such peer"},
+		{"  publish:", "  settle: {keep_ms: 5}\n  publish:", "duties.settle.keep_ms must be 60000 or more"},
+		{"  publish:", "  sessions: 0\n  publish:", "duties.sessions must be from 1"},
+		{"  publish:", "  presence_ms: 0\n  publish:", "duties.presence_ms must be above 0"},
+		{"  publish:", "  mark_ms: .nan\n  publish:", "duties.mark_ms must be above 0"},
+		{"  publish:", "  clock_rate: 0.9\n  publish:", "duties.clock_rate must be from 0 to 0.5"},
+	} {
+		text := strings.Replace(dutiesText, c.old, c.now, 1)
+		if text == dutiesText {
+			t.Fatalf("%q changes nothing", c.old)
+		}
+		if _, err := ParseOperator([]byte(text)); err == nil || !strings.Contains(err.Error(), c.want) {
+			t.Errorf("%q: %v, want %s", c.now, err, c.want)
+		}
+	}
+}
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -15,6 +15,8 @@
 	UWSGI     UWSGI     `yaml:"uwsgi"`
 	Store     Store     `yaml:"store"`
 	Inventory Inventory `yaml:"inventory"`
+	Duties    Duties    `yaml:"duties"`
+	Lab       Lab       `yaml:"lab"`
 	Text      []byte    `yaml:"-"` // the file, as it is kept in the store
 }
 
@@ -24,6 +26,7 @@
 	Listen string            `yaml:"listen"` // empty: no store
 	Dir    string            `yaml:"dir"`
 	Peers  map[string]string `yaml:"peers"` // id and address of each node, this one included
+	Via    map[string]string `yaml:"via"`   // by id: another address at which this node reaches that one
 }
 
 // Inventory names the hosts of the site.
@@ -59,7 +62,7 @@
 
 // ParseOperator reads, checks and completes an operator's file.
 func ParseOperator(text []byte) (Operator, error) {
-	o := Operator{Text: text, Inventory: Inventory{Port: 3031}, UWSGI: UWSGI{MaxBody: 64 << 10, MaxResult: 1 << 20, ReadMs: 2000, Conns: 128, KB: 24}}
+	o := Operator{Text: text, Inventory: Inventory{Port: 3031}, Duties: defaultDuties, UWSGI: UWSGI{MaxBody: 64 << 10, MaxResult: 1 << 20, ReadMs: 2000, Conns: 128, KB: 24}}
 	d := yaml.NewDecoder(bytes.NewReader(text))
 	d.KnownFields(true)
 	if err := d.Decode(&o); err != nil && len(bytes.TrimSpace(text)) > 0 {
@@ -76,18 +79,14 @@
 			return o, fmt.Errorf("uwsgi.servers[%d]: %w", i, err)
 		}
 	}
-	if st := o.Store; st.Listen != "" {
-		if _, _, err := net.SplitHostPort(st.Listen); err != nil {
-			return o, fmt.Errorf("store.listen: %w", err)
-		}
-		if st.Dir == "" {
-			return o, errors.New("store.dir is missing")
-		}
-		for id, at := range st.Peers {
-			if _, _, err := net.SplitHostPort(at); err != nil {
-				return o, fmt.Errorf("store.peers.%s: %w", id, err)
-			}
-		}
+	if err := o.Store.check(); err != nil {
+		return o, err
+	}
+	if err := o.Duties.check(o.Store); err != nil {
+		return o, err
+	}
+	if err := o.Lab.check(); err != nil {
+		return o, err
 	}
 	switch {
 	case o.Inventory.Path == "" && o.Inventory.Group != "":
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -47,6 +47,9 @@
 	yields atomic.Bool  // a successor took over: the module's state of draining is no state of the server
 	away   atomic.Bool  // operators want callers to stay away
 
+	share func() float64 // what may be used below now; nil: what the settings say
+	used  atomic.Uint64  // bits of what was used of it in the span of the rule
+
 	mu     sync.Mutex
 	lives  map[policy.ID]*Life
 	byWire map[string]*Life
@@ -73,6 +76,7 @@
 	cold   bool
 	drain  float64          // when the process will be stopped
 	set    *policy.Settings // in force from now on
+	call   func()
 }
 
 // New makes a core; Run has to be called for it to serve.
@@ -93,6 +97,16 @@
 // Adopt puts other settings into force, which have passed the module's check. Open requests keep their class.
 func (c *Core) Adopt(set policy.Settings) { c.inbox.Put(event{set: &set}) }
 
+// Divide lets another than the settings say what may be used below; it is asked before each choice, and must not wait.
+// To be called before Run.
+func (c *Core) Divide(share func() float64) { c.share = share }
+
+// Below is what was used below of late, in calls in hand; 0 where nothing divides.
+func (c *Core) Below() float64 { return math.Float64frombits(c.used.Load()) }
+
+// Then calls back, on the owner's goroutine, once every choice rests on what is in force now. It must not wait.
+func (c *Core) Then(call func()) { c.inbox.Put(event{call: call}) }
+
 func (c *Core) adopt(set policy.Settings) {
 	c.set, c.class, c.keys.fresh = set, map[string]policy.Class{}, clock.Millis(set.FreshFor)
 	lasts := time.Duration(0)
@@ -157,6 +171,9 @@
 // Ready tells whether requests can be served: the runner was up once.
 func (c *Core) Ready() bool { return c.up.Load() }
 
+// Good tells whether checks would get a good answer, operators' orders aside.
+func (c *Core) Good() bool { return c.good.Load() }
+
 // Away answers checks with a bad state, or no longer does, by an operator's order; what comes is served all the same.
 func (c *Core) Away(away bool) { c.away.Store(away) }
 
@@ -240,6 +257,9 @@
 		case e.set != nil:
 			c.handle(now) // what came before keeps its class
 			c.adopt(*e.set)
+		case e.call != nil:
+			c.handle(now)
+			e.call()
 		case e.drain > 0:
 			c.start(now, false)
 			c.events = append(c.events, policy.DrainNotice{Left: clock.Duration(max(e.drain-now, 0))})
@@ -268,6 +288,12 @@
 	if c.module == nil {
 		return
 	}
+	if c.share != nil { // looked at before each choice: one that ran out must carry no further call
+		c.module.SetBelowShare(c.share())
+		if inHand, span := c.module.BelowTime(); span > 0 {
+			c.used.Store(math.Float64bits(inHand / span))
+		}
+	}
 	for _, a := range c.module.Handle(clock.Duration(now-c.born), c.events) {
 		c.act(now, a)
 	}
--- a/internal/core/life.go
+++ b/internal/core/life.go
@@ -170,6 +170,9 @@
 				l.fail()
 			}
 			pool.Put(at.Body)
+			if at, ok := c.ledger.(Settled); ok && l.class.Safety != policy.Safe {
+				at.Ended(l.req.ID, m.Outcome == policy.OK)
+			}
 			m.Made = min(c.clock.Now(), begun+m.Took) // a late notice must not make the result look fresher
 			c.finish(l, m)
 			return
--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -113,3 +113,8 @@
 	// Begin records an effect before its run; false: it was begun before. An error: it is not recorded.
 	Begin(id string) (bool, error)
 }
+
+// Settled is a Ledger that also hears how the runs of effects end. It must not wait.
+type Settled interface {
+	Ended(id string, ok bool)
+}
--- a/internal/inventory/inventory.go
+++ b/internal/inventory/inventory.go
@@ -33,6 +33,11 @@
 	if err != nil {
 		return nil, fmt.Errorf("inventory: %w", err)
 	}
+	return Parse(path, text)
+}
+
+// Parse reads the text of a file; the ending of its name tells the format, and messages name it.
+func Parse(path string, text []byte) (*Inventory, error) {
 	switch strings.ToLower(filepath.Ext(path)) {
 	case ".csv":
 		return ParseCSV(path, text)
--- /dev/null
+++ b/internal/lab/lab_test.go
@@ -0,0 +1,217 @@
+package lab
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+
+	"puffinsaddle/internal/duty"
+	"puffinsaddle/internal/trace"
+)
+
+const patience = 60 * time.Second
+
+func TestOneSeedGivesOneSchedule(t *testing.T) {
+	s, _ := scenario("all")
+	a, b := Schedule(7, s, 120), Schedule(7, s, 120)
+	if !reflect.DeepEqual(a, b) || len(a) < 20 {
+		t.Errorf("%d and %d faults", len(a), len(b))
+	}
+	if reflect.DeepEqual(a, Schedule(8, s, 120)) {
+		t.Error("another seed gives the same")
+	}
+	kinds := map[string]bool{}
+	for _, f := range a {
+		kinds[f.Kind] = true
+		if f.At < firstAt || f.At+f.For > 120-quiet {
+			t.Errorf("%s", f)
+		}
+	}
+	if len(kinds) != len(s.Kinds) {
+		t.Errorf("%d of %d kinds", len(kinds), len(s.Kinds))
+	}
+}
+
+// An echo through a link: cut one way, nothing comes back though it was said; healed, what was held back arrives late.
+func TestLinksHoldBackAndPassOn(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	heard := make(chan string, 10)
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				b := make([]byte, 1)
+				for {
+					if _, err := c.Read(b); err != nil {
+						heard <- "end"
+						return
+					}
+					heard <- string(b)
+					c.Write(b)
+				}
+			}()
+		}
+	}()
+	l, err := NewLink()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	l.To(ln.Addr().String())
+	c, err := net.Dial("tcp", l.Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.SetDeadline(time.Now().Add(patience))
+	say := func(s string) { c.Write([]byte(s)) }
+	back := func() string {
+		b := make([]byte, 1)
+		if _, err := io.ReadFull(c, b); err != nil {
+			return err.Error()
+		}
+		return string(b)
+	}
+	say("1")
+	if s := back(); s != "1" {
+		t.Fatal(s)
+	}
+	<-heard
+	l.Cut(Back)
+	say("2")
+	if s := <-heard; s != "2" {
+		t.Errorf("heard %q", s)
+	}
+	l.Heal()
+	if s := back(); s != "2" {
+		t.Errorf("what was held back: %q", s)
+	}
+	l.Cut(There)
+	say("3")
+	l.Heal()
+	if s := back(); s != "3" {
+		t.Errorf("what was held back: %q", s)
+	}
+	<-heard
+	l.Reset()
+	if s := <-heard; s != "end" {
+		t.Errorf("after a reset: %q", s)
+	}
+}
+
+// Made-up histories, each with one thing that must not be, and one with none.
+func TestCheckerFindsWhatIsWrong(t *testing.T) {
+	grant := func(at float64, index uint64, name, who string) trace.Event {
+		return trace.Event{At: at, Who: "s01", What: trace.Applied, Index: index, Term: 1, Text: "orders", Cause: "grant " + name + " " + who}
+	}
+	held := func(at, until float64, who string, epoch uint64) trace.Event {
+		return trace.Event{At: at, Who: who, What: trace.Gained, Duty: "d", Epoch: epoch, Until: until}
+	}
+	acted := func(at float64, index, epoch uint64) trace.Event {
+		return trace.Event{At: at, Who: "s01", What: trace.Applied, Index: index, Term: 1, Text: "act", Duty: "d", Epoch: epoch}
+	}
+	good := []trace.Event{grant(1, 1, "d", "a#1"), held(2, 100, "a#1", 1), acted(5, 2, 1),
+		{At: 6, Who: "a#1", What: trace.Act, Text: "mark", Duty: "d", Epoch: 1, Began: 4, N: 1},
+		{At: 100, Who: "a#1", What: trace.Ended, Duty: "d", Epoch: 1, Cause: duty.CauseLate},
+		{At: 110, Who: "s01", What: trace.Applied, Index: 3, Term: 1, Text: "orders", Cause: "lapse d "}, grant(111, 4, "d", "b#1"), held(112, 300, "b#1", 2),
+		acted(113, 5, 2), {At: 114, Who: "b#1", What: trace.Act, Text: "mark", Duty: "d", Epoch: 2, Began: 112, N: 2},
+		{At: 120, Who: "a#1", What: trace.Share, Amount: 60, Until: 200}, {At: 130, Who: "a#1", What: trace.Share, Amount: 30, Until: 200},
+		{At: 131, Who: "b#1", What: trace.Share, Amount: 70, Until: 220}, {At: 140, Who: "s01", What: trace.Exec, Text: "e1"}}
+	for want, more := range map[string][]trace.Event{
+		"":                             nil,
+		"one holder at a time":         {held(90, 95, "c#1", 3)},
+		"an epoch has one holder":      {held(400, 500, "c#1", 2)},
+		"epochs only grow":             {held(400, 500, "c#1", 1)},
+		"no act of an old epoch":       {acted(115, 6, 1)},
+		"copies agree":                 {{At: 9, Who: "s02", What: trace.Applied, Index: 2, Term: 1, Text: "act", Duty: "d", Epoch: 9}},
+		"shares stay within the whole": {{At: 150, Who: "c#1", What: trace.Share, Amount: 1, Until: 160}},
+		"no effect runs twice":         {{At: 150, Who: "s05", What: trace.Exec, Text: "e1"}},
+		"acts are linearizable":        {{At: 116, Who: "b#1", What: trace.Act, Text: "mark", Duty: "d", Epoch: 2, Began: 115, N: 2}},
+	} {
+		o := &Outcome{Pool: 100, Events: append(append([]trace.Event(nil), good...), more...)}
+		f := Check(o)
+		var rules []string
+		for _, v := range f.Violations {
+			rules = append(rules, v.Rule)
+		}
+		if want == "" && len(rules) > 0 || want != "" && !strings.Contains(strings.Join(rules, ";"), want) {
+			t.Errorf("found %q, want %q", rules, want)
+		}
+		if want == "" && (f.Handovers != 1 || len(f.Gaps) != 1 || f.Gaps[0].Ms() != 12 || f.Acts != 2 || f.SharesMost != 100) {
+			t.Errorf("%+v", f)
+		}
+	}
+}
+
+func TestWrongUseIsNamed(t *testing.T) {
+	for want, c := range map[string]DutiesCmd{
+		"no scenario":   {Scenario: "none-such", Copies: 3, Servers: 12, For: time.Minute},
+		"no plant":      {Scenario: "all", Plant: "x", Copies: 3, Servers: 12, For: time.Minute},
+		"--copies must": {Scenario: "all", Copies: 4, Servers: 12, For: time.Minute},
+		"--servers":     {Scenario: "all", Copies: 5, Servers: 3, For: time.Minute},
+		"--for must":    {Scenario: "all", Copies: 3, Servers: 12, For: time.Second},
+		"--slots must":  {Scenario: "all", Copies: 3, Servers: 12, For: time.Minute, Slots: 1},
+	} {
+		if _, err := c.setup(); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%v, want %s", err, want)
+		}
+	}
+}
+
+// Processes of the real program with faults between them. What is checked is what must never be, so the verdict does not
+// hang on how fast the machine is; that every duty is held again at the end is given long.
+func TestProcessesKeepTheInvariants(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts processes")
+	}
+	binary := filepath.Join(t.TempDir(), "puffinsaddle")
+	if out, err := exec.Command("go", "build", "-o", binary, "puffinsaddle/cmd/puffinsaddle").CombinedOutput(); err != nil {
+		t.Fatalf("%v\n%s", err, out)
+	}
+	for i, name := range []string{"holder", "leader", "handing"} {
+		s, _ := scenario(name)
+		set := Setup{Binary: binary, Out: t.TempDir(), Seed: uint64(i + 1), Seconds: 16, Copies: 3, Servers: 5, Scenario: s, Load: 30, Slots: 12}
+		o, err := Play(context.Background(), set)
+		if err != nil {
+			logs(t, set.Out)
+			t.Fatal(err)
+		}
+		f := Check(o)
+		for _, v := range f.Violations {
+			t.Errorf("%s: %s: %s %+v", name, v.Rule, v.Text, v.Trace)
+		}
+		if f.Acts == 0 || f.Effects == 0 || len(o.Faults) == 0 {
+			t.Errorf("%s: %d acts, %d effects, %d faults: nothing was proven", name, f.Acts, f.Effects, len(o.Faults))
+		}
+		var page bytes.Buffer
+		if err := Report(&page, []Page{{Title: name, Setup: set, Outcome: o, Found: f, Result: result(set, o, f)}}); err != nil || page.Len() < 1000 {
+			t.Errorf("the report has %d bytes: %v", page.Len(), err)
+		}
+		if t.Failed() {
+			logs(t, set.Out)
+		}
+	}
+}
+
+// logs shows the last lines of each process.
+func logs(t *testing.T, dir string) {
+	files, _ := filepath.Glob(filepath.Join(dir, "*", "log"))
+	for _, path := range files {
+		b, _ := os.ReadFile(path)
+		t.Logf("%s:\n%s", path, b[max(len(b)-1500, 0):])
+	}
+}
--- /dev/null
+++ b/internal/lab/link.go
@@ -0,0 +1,255 @@
+package lab
+
+import (
+	"errors"
+	"io"
+	"net"
+	"os"
+	"sync"
+	"time"
+)
+
+// Way is a direction of a link.
+type Way int
+
+// Ways.
+const (
+	There Way = iota // from the one that connects
+	Back
+	Both
+)
+
+// Link is the one way from one process to another: a listening socket that passes connections on and can do to them what
+// networks do. Nothing that TCP promises is broken: bytes come late, or not at all and then the connection ends.
+type Link struct {
+	ln net.Listener
+
+	mu    sync.Mutex
+	to    string
+	cut   [2]bool        // bytes of a direction wait
+	delay time.Duration  // of all that passes
+	rate  int            // bytes a second; 0: as many as come
+	pipes map[*pipe]bool // open connections
+	wake  chan struct{}  // closed at each change
+	done  bool
+}
+
+// pipe is one connection through a link.
+type pipe struct {
+	a, b net.Conn
+	once sync.Once
+	gone chan struct{}
+}
+
+func (p *pipe) end(reset bool) {
+	p.once.Do(func() {
+		close(p.gone)
+		for _, c := range []net.Conn{p.a, p.b} {
+			if tcp, ok := c.(*net.TCPConn); ok && reset {
+				tcp.SetLinger(0)
+			}
+			c.Close()
+		}
+	})
+}
+
+// NewLink opens a link; To has to be called for it to lead anywhere.
+func NewLink() (*Link, error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	l := &Link{ln: ln, pipes: map[*pipe]bool{}, wake: make(chan struct{})}
+	go l.accept()
+	return l, nil
+}
+
+// Addr is where the link is entered.
+func (l *Link) Addr() string { return l.ln.Addr().String() }
+
+// To sets where it leads.
+func (l *Link) To(address string) { l.change(func() { l.to = address }) }
+
+// Cut holds back all bytes of a way until Heal: connections hang, and new ones do too.
+func (l *Link) Cut(w Way) {
+	l.change(func() {
+		if w != Back {
+			l.cut[There] = true
+		}
+		if w != There {
+			l.cut[Back] = true
+		}
+	})
+}
+
+// Heal ends what was done to the link; what was held back is passed on late.
+func (l *Link) Heal() { l.change(func() { l.cut, l.delay, l.rate = [2]bool{}, 0, 0 }) }
+
+// Delay makes all that passes late.
+func (l *Link) Delay(d time.Duration) { l.change(func() { l.delay = d }) }
+
+// Throttle bounds the bytes a second of each connection's way.
+func (l *Link) Throttle(rate int) { l.change(func() { l.rate = rate }) }
+
+// Reset breaks all connections.
+func (l *Link) Reset() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for p := range l.pipes {
+		p.end(true)
+	}
+}
+
+// Close ends the link.
+func (l *Link) Close() {
+	l.change(func() { l.done = true })
+	l.ln.Close()
+	l.Reset()
+}
+
+func (l *Link) change(do func()) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	do()
+	close(l.wake)
+	l.wake = make(chan struct{})
+}
+
+func (l *Link) accept() {
+	for {
+		a, err := l.ln.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			continue
+		}
+		go l.open(a)
+	}
+}
+
+func (l *Link) open(a net.Conn) {
+	// Who connects through a cut hears nothing, not even a refusal.
+	if !l.pass(There, nil) {
+		a.Close()
+		return
+	}
+	l.mu.Lock()
+	to := l.to
+	l.mu.Unlock()
+	b, err := net.DialTimeout("tcp", to, time.Second)
+	if err != nil {
+		a.Close()
+		return
+	}
+	p := &pipe{a: a, b: b, gone: make(chan struct{})}
+	l.mu.Lock()
+	if l.done {
+		l.mu.Unlock()
+		p.end(true)
+		return
+	}
+	l.pipes[p] = true
+	l.mu.Unlock()
+	var both sync.WaitGroup
+	both.Add(2)
+	go func() { defer both.Done(); l.carry(p, p.a, p.b, There) }()
+	go func() { defer both.Done(); l.carry(p, p.b, p.a, Back) }()
+	both.Wait()
+	p.end(false)
+	l.mu.Lock()
+	delete(l.pipes, p)
+	l.mu.Unlock()
+}
+
+// pass waits until a way is open; false: the link or the connection has ended.
+func (l *Link) pass(w Way, p *pipe) bool {
+	var gone chan struct{}
+	if p != nil {
+		gone = p.gone
+	}
+	for {
+		l.mu.Lock()
+		wake, open, done := l.wake, !l.cut[w], l.done
+		l.mu.Unlock()
+		if done {
+			return false
+		}
+		if open {
+			return true
+		}
+		select {
+		case <-wake:
+		case <-gone:
+			return false
+		}
+	}
+}
+
+type chunk struct {
+	b  []byte
+	at time.Time // when it may leave
+}
+
+// carry passes bytes one way. Reading goes on while bytes are delayed, so that a delay is no throttle. At the end of the
+// one side what is on its way still arrives.
+func (l *Link) carry(p *pipe, from, to net.Conn, w Way) {
+	queue := make(chan chunk, 1024)
+	go func() {
+		defer close(queue)
+		for {
+			b := make([]byte, 16<<10)
+			n, err := from.Read(b)
+			if n > 0 {
+				l.mu.Lock()
+				at := time.Now().Add(l.delay)
+				l.mu.Unlock()
+				select {
+				case queue <- chunk{b[:n], at}:
+				case <-p.gone:
+					return
+				}
+			}
+			if err != nil {
+				if !errors.Is(err, io.EOF) && !errors.Is(err, os.ErrDeadlineExceeded) {
+					p.end(true)
+				}
+				return
+			}
+		}
+	}()
+	for c := range queue {
+		wait(time.Until(c.at), p.gone)
+		l.mu.Lock()
+		rate := l.rate
+		l.mu.Unlock()
+		if rate > 0 {
+			wait(time.Duration(len(c.b))*time.Second/time.Duration(rate), p.gone)
+		}
+		if !l.pass(w, p) {
+			return
+		}
+		if _, err := to.Write(c.b); err != nil {
+			p.end(true)
+			return
+		}
+	}
+	if !l.pass(w, p) {
+		return
+	}
+	if tcp, ok := to.(*net.TCPConn); ok {
+		tcp.CloseWrite()
+	}
+}
+
+func wait(d time.Duration, gone <-chan struct{}) {
+	if d <= 0 {
+		return
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-gone:
+	}
+}
--- /dev/null
+++ b/internal/lab/report.go
@@ -0,0 +1,203 @@
+package lab
+
+import (
+	"bytes"
+	"fmt"
+	"hash/fnv"
+	"html/template"
+	"io"
+	"maps"
+	"slices"
+
+	svg "github.com/ajstarks/svgo"
+
+	"puffinsaddle/internal/trace"
+)
+
+const (
+	wide  = 1100
+	left  = 110
+	row   = 22
+	chart = 160
+)
+
+// Page is one run of a report.
+type Page struct {
+	Title   string
+	Setup   Setup
+	Outcome *Outcome
+	Found   *Found
+	Result  Result
+}
+
+func color(s string) string {
+	h := fnv.New32a()
+	h.Write([]byte(s))
+	return fmt.Sprintf("hsl(%d,55%%,%d%%)", h.Sum32()%360, 45+h.Sum32()/360%20)
+}
+
+// x is a time's place.
+func (p Page) x(at float64) int {
+	s := (at - p.Outcome.Begun) / 1000
+	return left + int(max(min(s/p.Setup.Seconds, 1.05), -0.02)*(wide-left-60))
+}
+
+func (p Page) axis(c *svg.SVG, y, height int) {
+	step := 1.0
+	for p.Setup.Seconds/step > 12 {
+		step *= 2
+		if p.Setup.Seconds/step > 12 {
+			step *= 2.5
+		}
+	}
+	for s := 0.0; s <= p.Setup.Seconds; s += step {
+		x := p.x(p.Outcome.Begun + s*1000)
+		c.Line(x, y, x, y+height, "stroke:#ddd")
+		c.Text(x, y+height+12, fmt.Sprintf("%.0f s", s), "text-anchor:middle;font-size:10px;fill:#555")
+	}
+}
+
+// timeline draws who held what when, with the faults above it.
+func (p Page) timeline() template.HTML {
+	var b bytes.Buffer
+	names := slices.Sorted(maps.Keys(p.Found.Spans))
+	height := row*(len(names)+1) + 10
+	c := svg.New(&b)
+	c.Start(wide, height+24)
+	p.axis(c, 4, height-8)
+	c.Text(4, row-6, "faults", "font-size:12px")
+	begins := map[string]float64{}
+	for _, e := range p.Outcome.Events {
+		switch e.What {
+		case "fault-begins":
+			begins[e.Text] = e.At
+		case "fault":
+			x, to := p.x(begins[e.Text]), p.x(e.At)
+			c.Title(e.Text)
+			c.Rect(x, 6, max(to-x, 3), row-8, "fill:#c33;fill-opacity:0.5")
+			c.Text(x+2, row-8, e.Text, "font-size:9px;fill:#600")
+		}
+	}
+	for i, name := range names {
+		y := row * (i + 1)
+		c.Text(4, y+row-6, name, "font-size:12px")
+		for _, s := range p.Found.Spans[name] {
+			x, to := p.x(s.From), p.x(s.To)
+			c.Rect(x, y+3, max(to-x, 2), row-6, "fill:"+color(nameOf(s.Who)))
+			if to-x > 40 {
+				c.Text(x+3, y+row-8, fmt.Sprintf("%s %d", nameOf(s.Who), s.Epoch), "font-size:10px;fill:#fff")
+			}
+		}
+	}
+	c.End()
+	return template.HTML(b.String())
+}
+
+// line draws values over time.
+func (p Page) line(title string, at, values []float64, unit string) template.HTML {
+	var b bytes.Buffer
+	c := svg.New(&b)
+	c.Start(wide, chart+40)
+	p.axis(c, 20, chart)
+	top := 1.0
+	for _, v := range values {
+		top = max(top, v)
+	}
+	c.Text(4, 14, title, "font-size:12px")
+	for i := range 5 {
+		y := 20 + chart - chart*i/4
+		c.Line(left, y, wide-60, y, "stroke:#eee")
+		c.Text(left-4, y+4, fmt.Sprintf("%.3g %s", top*float64(i)/4, unit), "text-anchor:end;font-size:10px;fill:#555")
+	}
+	var xs, ys []int
+	for i := range at {
+		xs, ys = append(xs, p.x(at[i])), append(ys, 20+chart-int(values[i]/top*chart))
+	}
+	if len(xs) > 0 {
+		c.Polyline(xs, ys, "fill:none;stroke:#246;stroke-width:1.5")
+	}
+	c.End()
+	return template.HTML(b.String())
+}
+
+// latency draws the time to an answer by second.
+func (p Page) latency() template.HTML {
+	var at, v []float64
+	for _, s := range slices.Sorted(maps.Keys(p.Outcome.Load.series)) {
+		at = append(at, p.Outcome.Begun+float64(s)*1000)
+		v = append(v, float64(p.Outcome.Load.series[s].ValueAtQuantile(99))/1000)
+	}
+	return p.line("time to an answer from the intended sending, 99th in 100, by second", at, v, "ms")
+}
+
+// shares draws what is in force of the pool.
+func (p Page) shares() template.HTML {
+	now := map[string]int64{}
+	var at, v []float64
+	for _, e := range p.Outcome.Events {
+		switch e.What {
+		case trace.Share:
+			now[e.Who] = e.Amount
+		case trace.Ended:
+			if e.Duty == "server/"+e.Who {
+				delete(now, e.Who)
+			}
+		default:
+			continue
+		}
+		sum := int64(0)
+		for _, a := range now {
+			sum += a
+		}
+		at, v = append(at, e.At), append(v, float64(sum)/1000)
+	}
+	return p.line(fmt.Sprintf("shares told, of %.1f calls in hand", float64(p.Outcome.Pool)/1000), at, v, "")
+}
+
+var page = template.Must(template.New("report").Parse(`<!doctype html>
+<html lang="en"><head><meta charset="utf-8"><title>puffinsaddle laboratory</title>
+<style>body{font-family:sans-serif;margin:24px;max-width:1140px}table{border-collapse:collapse;font-size:13px}td,th{border:1px solid #ccc;padding:2px 8px;text-align:left}.bad{color:#b00}pre{background:#f6f6f6;padding:8px;font-size:11px;overflow:auto}</style></head><body>
+<h1>puffinsaddle laboratory</h1>
+{{if gt (len .) 1}}<h2>Side by side</h2><table><tr><th></th>{{range .}}<th>{{.Title}}</th>{{end}}</tr>
+{{range $i, $n := (index . 0).Rows}}<tr><td>{{$n.Name}}</td>{{range $}}<td>{{(index .Rows $i).Value}}</td>{{end}}</tr>{{end}}</table>{{end}}
+{{range .}}<h2>{{.Title}}</h2>
+<p>seed {{.Setup.Seed}}, {{.Setup.Seconds}} s, {{.Setup.Copies}} copies, {{.Setup.Servers}} servers, scenario {{.Setup.Scenario.Name}}{{if .Setup.Plant}}, planted: {{.Setup.Plant}}{{end}}</p>
+<table>{{range .Rows}}<tr><td>{{.Name}}</td><td>{{.Value}}</td></tr>{{end}}</table>
+{{if .Found.Violations}}<h3 class="bad">Broken</h3>{{range .Found.Violations}}<p class="bad"><b>{{.Rule}}</b>: {{.Text}}</p><pre>{{range .Trace}}{{printf "%+v" .}}
+{{end}}</pre>{{end}}{{end}}
+<h3>Who held what</h3>{{.Timeline}}
+{{.Latency}}{{.Shares}}
+<h3>Faults</h3><table><tr><th>at</th><th>for</th><th>kind</th><th>hit</th></tr>{{range .Outcome.Faults}}<tr><td>{{printf "%.1f s" .At}}</td><td>{{printf "%.1f s" .For}}</td><td>{{.Kind}}</td><td>{{.Hit}}</td></tr>{{end}}</table>
+<h3>Gaps without a holder</h3><table><tr><th>duty</th><th>ms</th><th>after</th></tr>{{range .Found.Gaps}}<tr><td>{{.Duty}}</td><td>{{printf "%.0f" .Ms}}</td><td>{{.After}}</td></tr>{{end}}</table>
+{{range .Outcome.Notes}}<p>{{.}}</p>{{end}}
+{{end}}</body></html>`))
+
+// Row is a figure of a page.
+type Row struct{ Name, Value string }
+
+// Rows are the figures.
+func (p Page) Rows() []Row {
+	r := p.Result
+	q := func(v float64) string {
+		return fmt.Sprintf("%.1f ms", float64(p.Outcome.Load.hist.ValueAtQuantile(v))/1000)
+	}
+	return []Row{{"invariants broken", fmt.Sprint(r.Violations)}, {"acts", fmt.Sprint(r.Acts)}, {"acts refused for their epoch", fmt.Sprint(r.Stale)},
+		{"handovers", fmt.Sprint(r.Handovers)}, {"gap, median", fmt.Sprintf("%.0f ms", r.GapP50)}, {"gap, longest", fmt.Sprintf("%.0f ms", r.GapMax)},
+		{"effects run", fmt.Sprint(r.Effects)}, {"effects run twice", fmt.Sprint(r.EffectsTwice)}, {"worth served", fmt.Sprintf("%.3f", r.Worth)},
+		{"answers in time", fmt.Sprintf("%d full, %d poorer, %d refused, %d failed, %d none of %d", r.Served.Full, r.Served.Part, r.Served.Refused, r.Served.Failed, r.Served.None, r.Served.Asked)},
+		{"time to an answer", q(50) + " median, " + q(99) + " 99th in 100"},
+		{"calls below", fmt.Sprintf("%d, at most %d at once of %d slots, %.2f in the mean", r.Calls, r.CallsMost, p.Outcome.Vault.Slots, r.CallsMean)},
+		{"most shares in force", fmt.Sprintf("%.1f of %.1f", float64(p.Found.SharesMost)/1000, float64(p.Outcome.Pool)/1000)}}
+}
+
+// Timeline, Latency and Shares are for the template.
+func (p Page) Timeline() template.HTML { return p.timeline() }
+
+// Latency draws the load's.
+func (p Page) Latency() template.HTML { return p.latency() }
+
+// Shares draws what is told.
+func (p Page) Shares() template.HTML { return p.shares() }
+
+// Report writes one page for runs, side by side where there are two.
+func Report(w io.Writer, pages []Page) error { return page.Execute(w, pages) }
--- a/internal/net/operator/operator.go
+++ b/internal/net/operator/operator.go
@@ -23,7 +23,8 @@
 type Calls struct {
 	Ready   func() bool // this process can serve
 	Figures func() any
-	Drain   func(away bool) // send clients away, or take them again
+	Drain   func(away bool)             // send clients away, or take them again
+	More    map[string]http.HandlerFunc // further calls, by method and path
 }
 
 // Front serves operators.
@@ -59,6 +60,9 @@
 			calls.Drain(away)
 		})
 	}
+	for path, call := range calls.More {
+		mux.HandleFunc(path, call)
+	}
 	f.server = &http.Server{Handler: mux, ReadTimeout: callFor, WriteTimeout: callFor, MaxHeaderBytes: mostHead, ConnState: f.state}
 	f.server.SetKeepAlivesEnabled(false)
 	return f, nil
--- /dev/null
+++ b/internal/net/session/desk.go
@@ -0,0 +1,449 @@
+package session
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"slices"
+	"sync"
+	"sync/atomic"
+
+	"github.com/rs/zerolog"
+
+	"puffinsaddle/internal/allot"
+	"puffinsaddle/internal/clock"
+	"puffinsaddle/internal/duty"
+	"puffinsaddle/internal/mailbox"
+	"puffinsaddle/internal/state"
+)
+
+const (
+	turnEvery = 20.0 // ms; beats that come within it are proven by one entry of the log
+	mostDoing = 64   // commands of one session under way; more wait in its socket
+	silentFor = 10   // a session that says nothing for so many renewals is cut off
+	mostFor   = 256  // orphans told at once
+)
+
+// Copy is the copy of the store at which a desk stands.
+type Copy interface {
+	Office() (term uint64, leads bool)
+	Leader() string
+	Propose(c state.Command) func() (state.Result, error)
+	Prove() func() error
+	View(look func(st *state.State, index uint64))
+}
+
+// Desk serves sessions at a copy. One goroutine, Run, owns the grantor; it waits for no socket and no disk.
+type Desk struct {
+	copy  Copy
+	clk   *clock.Clock // steady
+	log   zerolog.Logger
+	g     *duty.Grantor
+	most  int
+	inbox *mailbox.Box[any]
+	open  atomic.Int64
+	leads atomic.Uint64
+	count counts
+
+	// The owner's.
+	batch   []any
+	beats   map[*caller]*toCopy // to be taken
+	asks    []question
+	office  uint64 // the term in which the state is known to be whole; 0: none
+	flying  bool
+	callers map[string]*caller // by process: who said the latest beat
+	told    map[string]uint64  // the latest beat that was taken, by process
+	needs   map[string]int64
+	armed   bool
+}
+
+type counts struct {
+	mu                           sync.Mutex
+	Beats, Flights, Answers, Cut uint64
+}
+
+// DeskFigures are counts from the start of the process.
+type DeskFigures struct {
+	Beats   uint64 `json:"beats"`   // taken
+	Flights uint64 `json:"flights"` // entries of the log written for beats and questions
+	Answers uint64 `json:"answers"`
+	Cut     uint64 `json:"cut"` // sessions ended for what they sent, or did not
+	Open    int64  `json:"open"`
+	Term    uint64 `json:"term"` // in which this copy leads; 0: it does not
+}
+
+// caller is one session.
+type caller struct {
+	line *line
+	who  atomic.Pointer[string] // whose it is; set by its first beat
+	slot chan struct{}
+}
+
+type (
+	beaten struct {
+		from *caller
+		m    toCopy
+	}
+	question struct {
+		from *caller
+		no   uint64
+		what string
+	}
+	left  struct{ from *caller }
+	flown struct {
+		term   uint64
+		orders []duty.Order
+		result state.Result
+		err    error
+		beats  map[*caller]*toCopy
+		asks   []question
+	}
+)
+
+// NewDesk makes a desk for so many sessions at once; Run has to be called for it to answer.
+func NewDesk(c Copy, g *duty.Grantor, most int, steady *clock.Clock, log zerolog.Logger) *Desk {
+	return &Desk{copy: c, clk: steady, log: log, g: g, most: most, inbox: mailbox.New[any](), beats: map[*caller]*toCopy{},
+		callers: map[string]*caller{}, told: map[string]uint64{}, needs: map[string]int64{}}
+}
+
+// Figures reads the counts.
+func (d *Desk) Figures() DeskFigures {
+	d.count.mu.Lock()
+	defer d.count.mu.Unlock()
+	return DeskFigures{d.count.Beats, d.count.Flights, d.count.Answers, d.count.Cut, d.open.Load(), d.leads.Load()}
+}
+
+func (d *Desk) add(n *uint64) {
+	d.count.mu.Lock()
+	*n++
+	d.count.mu.Unlock()
+}
+
+// Serve serves one session to its end.
+func (d *Desk) Serve(conn net.Conn) {
+	defer conn.Close()
+	if d.open.Add(1) > int64(d.most) {
+		d.open.Add(-1)
+		d.add(&d.count.Cut)
+		return
+	}
+	defer d.open.Add(-1)
+	c := &caller{line: newLine(conn), slot: make(chan struct{}, mostDoing)}
+	defer close(c.line.done)
+	defer d.inbox.Put(left{c})
+	r := newReader(conn, clock.Duration(silentFor*d.g.Renew))
+	for {
+		var m toCopy
+		err := r.next(&m)
+		if err == nil {
+			err = d.take(c, m)
+		}
+		if err != nil {
+			d.add(&d.count.Cut)
+			d.log.Debug().Err(err).Msg("session ended")
+			return
+		}
+	}
+}
+
+// take sorts one message; an error ends the session.
+func (d *Desk) take(c *caller, m toCopy) error {
+	switch {
+	case m.Beat != nil:
+		if err := c.is(m.Beat.From); err != nil {
+			return err
+		}
+		if len(m.Beat.Stands)+len(m.Beat.Renews)+len(m.Beat.Gives) > 4*(len(d.g.Duties)+1) {
+			return fmt.Errorf("session: a beat with %d names", len(m.Beat.Stands)+len(m.Beat.Renews)+len(m.Beat.Gives))
+		}
+		d.inbox.Put(beaten{c, m})
+	case m.Do != nil:
+		if err := c.may(*m.Do); err != nil {
+			return err
+		}
+		c.slot <- struct{}{}
+		go func() {
+			defer func() { <-c.slot }()
+			d.do(c, m.No, *m.Do)
+		}()
+	case m.Read != "":
+		d.inbox.Put(question{c, m.No, m.Read})
+	default:
+		return fmt.Errorf("session: a message without a part")
+	}
+	return nil
+}
+
+// is binds a session to one process.
+func (c *caller) is(who string) error {
+	if who == "" || len(who) > 128 {
+		return fmt.Errorf("session: a beat of nobody")
+	}
+	if c.who.CompareAndSwap(nil, &who); *c.who.Load() != who {
+		return fmt.Errorf("session: %q speaks in the session of %q", who, *c.who.Load())
+	}
+	return nil
+}
+
+// may tells whether a session may have a command carried out: what comes from outside speaks for itself alone, and
+// never for the grantor.
+func (c *caller) may(cmd state.Command) error {
+	switch cmd.Op {
+	case state.Act, state.Ask, state.Freeze, state.Thaw:
+		return nil
+	case state.Begin, state.End, state.Word:
+		if who := c.who.Load(); who != nil && *who == cmd.Who {
+			return nil
+		}
+		return fmt.Errorf("session: %s for %q, who is not in this session", cmd.Op, cmd.Who)
+	}
+	return fmt.Errorf("session: %q is not taken from a session", cmd.Op)
+}
+
+func (d *Desk) do(c *caller, no uint64, cmd state.Command) {
+	if _, leads := d.copy.Office(); !leads {
+		d.elsewhere(c, no)
+		return
+	}
+	r, err := d.copy.Propose(cmd)()
+	m := toServer{No: no, Result: &r}
+	if err != nil {
+		m.Result, m.Error = nil, err.Error()
+	}
+	if r.Stale {
+		d.log.Warn().Str("refused", r.Error).Msg("fenced")
+	}
+	c.line.send(m)
+}
+
+func (d *Desk) elsewhere(c *caller, no uint64) {
+	id := d.copy.Leader()
+	c.line.send(toServer{No: no, Else: &id})
+}
+
+// Run answers until the context ends.
+func (d *Desk) Run(ctx context.Context) {
+	for {
+		d.arm()
+		select {
+		case <-ctx.Done():
+			return
+		case <-d.inbox.Ready:
+		}
+		d.turn()
+	}
+}
+
+func (d *Desk) arm() {
+	if !d.armed {
+		d.armed = true
+		d.clk.After(turnEvery, func() { d.inbox.Put(tick{}) })
+	}
+}
+
+type tick struct{}
+
+func (d *Desk) turn() {
+	d.batch = d.inbox.Take(d.batch)
+	look := false
+	for i, e := range d.batch {
+		switch e := e.(type) {
+		case tick:
+			d.armed, look = false, true
+		case beaten:
+			if old := d.beats[e.from]; old != nil && old.Ack > e.m.Ack {
+				e.m.Ack = old.Ack
+			}
+			if old := d.beats[e.from]; old != nil {
+				e.m.Beat.Gives = append(e.m.Beat.Gives, old.Beat.Gives...) // the later beat speaks for both
+			}
+			d.beats[e.from] = &e.m
+			d.add(&d.count.Beats)
+		case question:
+			d.asks = append(d.asks, e)
+		case left:
+			delete(d.beats, e.from)
+			d.asks = slices.DeleteFunc(d.asks, func(q question) bool { return q.from == e.from })
+			if who := e.from.who.Load(); who != nil && d.callers[*who] == e.from {
+				delete(d.callers, *who)
+				delete(d.told, *who)
+				delete(d.needs, *who)
+			}
+		case flown:
+			d.land(e)
+		}
+		d.batch[i] = nil
+	}
+	if !look || d.flying {
+		return // once a tick, so that beats share an entry
+	}
+	term, leads := d.copy.Office()
+	switch {
+	case !leads:
+		d.office = 0
+		d.leads.Store(0)
+		for c := range d.beats {
+			d.elsewhere(c, 0)
+		}
+		for _, q := range d.asks {
+			d.elsewhere(q.from, q.no)
+		}
+		clear(d.beats)
+		d.asks = nil
+	case term != d.office:
+		// What earlier leaders agreed on may not have reached this copy yet. Until it has, nobody is heard: a grant that
+		// is not seen would count as not renewed.
+		d.fly(flown{term: term})
+	default:
+		d.work(term)
+	}
+}
+
+// work takes the beats and writes what they and the time call for.
+func (d *Desk) work(term uint64) {
+	now := d.clk.Now() // after the beats came: a holder counts from when it sent one
+	f := flown{term: term, beats: d.beats, asks: d.asks}
+	var acks []state.Command
+	d.copy.View(func(st *state.State, _ uint64) {
+		for c, m := range d.beats {
+			b := *m.Beat
+			d.callers[b.From], d.told[b.From] = c, max(d.told[b.From], b.No)
+			d.needs[b.From] = m.Need
+			f.orders = append(f.orders, d.g.Take(now, b, st.Duties)...)
+			if s := st.Shares.Shares[b.From]; s != nil && s.Cap > s.Want && s.Version == m.Ack {
+				acks = append(acks, state.Command{Op: state.Ack, Who: b.From, Epoch: m.Ack})
+			}
+		}
+		f.orders = append(f.orders, d.g.Turn(now, st.Duties)...)
+	})
+	for _, a := range acks {
+		d.copy.Propose(a) // nobody waits for it: the next beat says it again
+	}
+	if len(f.beats)+len(f.asks)+len(f.orders) == 0 {
+		return
+	}
+	d.beats, d.asks = map[*caller]*toCopy{}, nil
+	d.fly(f)
+}
+
+// fly writes an entry of the log and comes back with what it came to. One is under way at a time: what comes meanwhile
+// shares the next.
+func (d *Desk) fly(f flown) {
+	if len(f.orders) == 0 && d.g.Plant == duty.PlantUnproven && f.beats != nil {
+		d.land(f)
+		return
+	}
+	d.flying = true
+	d.add(&d.count.Flights)
+	if len(f.orders) > 0 {
+		wait := d.copy.Propose(state.Command{Op: state.Orders, Orders: f.orders})
+		go func() {
+			f.result, f.err = wait()
+			d.inbox.Put(f)
+		}()
+		return
+	}
+	wait := d.copy.Prove()
+	go func() {
+		f.err = wait()
+		d.inbox.Put(f)
+	}()
+}
+
+func (d *Desk) land(f flown) {
+	d.flying = false
+	now := d.clk.Now()
+	if f.beats == nil && f.err == nil { // the term's first entry
+		if term, leads := d.copy.Office(); leads && term == f.term {
+			d.office = f.term
+			d.leads.Store(f.term)
+			d.g.Lead(f.term, now)
+			clear(d.told)
+			d.log.Info().Uint64("term", f.term).Msg("grants duties")
+		}
+		return
+	}
+	if f.err != nil {
+		d.office = 0 // whatever was agreed on after all is seen once the next entry is
+		d.log.Warn().Err(f.err).Msg("not confirmed")
+		return
+	}
+	d.copy.View(func(st *state.State, index uint64) {
+		granted := map[string]bool{}
+		for i, o := range f.orders {
+			d.g.Done(now, o, st.Duties)
+			ok := i < len(f.result.Part) && f.result.Part[i] == ""
+			if ok {
+				d.log.Info().Str("order", o.Kind).Str("duty", o.Name).Str("holder", o.Holder).Uint64("epoch", epochNow(st, o)).Msg("duty")
+			}
+			if ok && o.Kind == duty.Grant {
+				granted[o.Holder] = true
+			}
+		}
+		for c, m := range f.beats {
+			delete(granted, m.Beat.From)
+			d.answer(c, m.Beat.From, m.Beat.No, index, st)
+		}
+		for who := range granted { // its last beat stood for it, and the grant was written after that came
+			if c := d.callers[who]; c != nil && d.told[who] > 0 {
+				d.answer(c, who, d.told[who], index, st)
+			}
+		}
+		for _, q := range f.asks {
+			d.reply(q, st, f.term)
+		}
+	})
+}
+
+func epochNow(st *state.State, o duty.Order) uint64 {
+	if l := st.Duties.Leases[o.Name]; l != nil {
+		return l.Epoch
+	}
+	return o.Epoch
+}
+
+func (d *Desk) answer(c *caller, who string, no, index uint64, st *state.State) {
+	told := d.g.Answer(who, no, index, st.Duties)
+	m := toServer{Told: &told, Version: st.Config.Latest().No}
+	if s := st.Shares.Shares[who]; s != nil {
+		v := *s
+		m.Share = &v
+	}
+	d.add(&d.count.Answers)
+	c.line.send(m)
+}
+
+func (d *Desk) reply(q question, st *state.State, term uint64) {
+	var v any
+	switch q.what {
+	case ReadFleet:
+		f := Fleet{Pool: st.Shares.Pool}
+		for _, who := range st.Shares.Whos() {
+			f.Of = append(f.Of, allot.Need{Who: who, Need: d.needs[who], Share: *st.Shares.Shares[who]})
+		}
+		v = f
+	case ReadEffects:
+		v = Effects{Seq: st.Effects.Seq, Kept: len(st.Effects.Effects), Orphans: st.Effects.Orphans(st.Live, mostFor)}
+	case ReadDuties:
+		o := Duties{Table: st.Duties.Clone(), Marks: st.Marks, Stale: st.Stale, Words: map[string]string{}, Term: term, Lead: d.copy.Leader()}
+		for who, w := range st.Config.Words {
+			o.Words[who] = fmt.Sprintf("%d taken", w.No)
+			if w.Reason != "" {
+				o.Words[who] = fmt.Sprintf("%d turned down: %s", w.No, w.Reason)
+			}
+		}
+		v = o
+	case ReadVersion:
+		v = st.Config.Latest()
+	default:
+		q.from.line.send(toServer{No: q.no, Error: fmt.Sprintf("session: unknown question %q", q.what)})
+		return
+	}
+	b, err := json.Marshal(v)
+	if err != nil {
+		q.from.line.send(toServer{No: q.no, Error: err.Error()})
+		return
+	}
+	q.from.line.send(toServer{No: q.no, Body: b})
+}
--- /dev/null
+++ b/internal/net/session/session_test.go
@@ -0,0 +1,387 @@
+package session
+
+import (
+	"encoding/binary"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"puffinsaddle/internal/clock"
+	"puffinsaddle/internal/duty"
+	"puffinsaddle/internal/state"
+	"puffinsaddle/internal/store"
+)
+
+const patience = 60 * time.Second
+
+var rules = duty.Rules{Bounds: duty.Bounds{Rate: 0.1, Margin: 50}, Renew: 300, Cool: 1000, ColdWait: 1000, Presence: 2000,
+	Duties: []duty.Terms{{Name: "allotter", TTL: 2000}}}
+
+// oneCopy is a copy whose log is agreed on at once, unless the test says that it does not lead.
+type oneCopy struct {
+	mu    sync.Mutex
+	st    *state.State
+	term  uint64
+	leads bool
+	other string
+	index uint64
+}
+
+func (c *oneCopy) Office() (uint64, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.term, c.leads
+}
+
+func (c *oneCopy) Leader() string { return c.other }
+
+func (c *oneCopy) Propose(cmd state.Command) func() (state.Result, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.index++
+	r := c.st.Apply(cmd, c.term)
+	return func() (state.Result, error) { return r, nil }
+}
+
+func (c *oneCopy) Prove() func() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.index++
+	return func() error { return nil }
+}
+
+func (c *oneCopy) View(look func(*state.State, uint64)) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	look(c.st, c.index)
+}
+
+// place is a desk on a port.
+type place struct {
+	copy *oneCopy
+	desk *Desk
+	at   string
+}
+
+func open(t *testing.T, c *oneCopy, steady *clock.Clock) *place {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	p := &place{copy: c, at: ln.Addr().String(), desk: NewDesk(c, &duty.Grantor{Rules: rules, Seed: 1}, 16, steady, zerolog.Nop())}
+	go func() {
+		for {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				var purpose [1]byte
+				if _, err := io.ReadFull(conn, purpose[:]); err != nil || purpose[0] != store.ForSessions {
+					conn.Close()
+					return
+				}
+				p.desk.Serve(conn)
+			}()
+		}
+	}()
+	go p.desk.Run(t.Context())
+	return p
+}
+
+func join(t *testing.T, me string, copies map[string]string, steady *clock.Clock) (*Client, chan any) {
+	events := make(chan any, 1000)
+	c := NewClient(Options{Me: me, Copies: copies, Rules: rules, Seed: 1, Steady: steady, Log: zerolog.Nop(), On: func(e any) { events <- e }})
+	go c.Run(t.Context())
+	return c, events
+}
+
+// want waits for an event of a kind.
+func want[T any](t *testing.T, events chan any, is func(T) bool) T {
+	t.Helper()
+	late := time.After(patience)
+	for {
+		select {
+		case e := <-events:
+			if v, ok := e.(T); ok && is(v) {
+				return v
+			}
+		case <-late:
+			var v T
+			t.Fatalf("no %T came", v)
+		}
+	}
+}
+
+func leads(st *state.State) *oneCopy { return &oneCopy{st: st, term: 1, leads: true} }
+
+func gains(g duty.Gained) bool { return g.Name == "allotter" }
+
+// A server is sent on to the copy that leads, gains what it stands for, acts under it, and is refused under any other
+// epoch.
+func TestHolderActsAndForgedEpochsAreRefused(t *testing.T) {
+	steady := clock.Steady()
+	lead := open(t, leads(state.New()), steady)
+	follow := open(t, &oneCopy{st: state.New(), term: 1, other: "lead"}, steady)
+	c, events := join(t, "a#1", map[string]string{"lead": lead.at, "follow": follow.at}, steady)
+	g := want(t, events, gains)
+	if r, err := c.Act(t.Context(), g.Ref, state.Command{Op: state.Mark}); err != nil || r.N != 1 {
+		t.Errorf("%+v %v", r, err)
+	}
+	forged := duty.Ref{Name: g.Name, Epoch: g.Epoch + 1}
+	if _, err := c.Act(t.Context(), forged, state.Command{Op: state.Mark}); !errors.Is(err, ErrStale) || c.Fenced() != 1 {
+		t.Errorf("a forged epoch: %v, %d counted", err, c.Fenced())
+	}
+	if fresh, err := c.Begin("0a"); !fresh || err != nil {
+		t.Errorf("%v %v", fresh, err)
+	}
+	if fresh, err := c.Begin("0a"); fresh || err != nil {
+		t.Errorf("begun twice: %v %v", fresh, err)
+	}
+	var d Duties
+	if err := c.Read(t.Context(), ReadDuties, &d); err != nil || d.Marks["allotter"] != 1 || d.Stale["allotter"] != 1 {
+		t.Errorf("%+v %v", d, err)
+	}
+	if err := c.Read(t.Context(), "nonsense", &d); err == nil {
+		t.Error("an unknown question has an answer")
+	}
+	if _, err := c.Do(t.Context(), state.Command{Op: state.Ask, Key: "allotter"}); err != nil {
+		t.Fatal(err)
+	}
+	y := want(t, events, func(duty.Yields) bool { return true })
+	c.Quiet(y.Ref)
+	want(t, events, func(e duty.Ended) bool { return e.Name == "allotter" && e.Cause == duty.CauseYield })
+	for late := time.Now().Add(patience); ; {
+		if err := c.Read(t.Context(), ReadDuties, &d); err != nil {
+			t.Fatal(err)
+		}
+		if l := d.Table.Leases["allotter"]; l.Holder == "" || l.Epoch > y.Epoch {
+			break
+		}
+		if time.Now().After(late) {
+			t.Fatal("what was handed on is not given back")
+		}
+	}
+	if _, err := c.Act(t.Context(), y.Ref, state.Command{Op: state.Mark}); !errors.Is(err, ErrStale) {
+		t.Errorf("an act after the duty was handed on: %v", err)
+	}
+}
+
+// What no client of ours would send ends its own connection and changes nothing.
+func TestMalformedMessagesEndTheirConnection(t *testing.T) {
+	lead := open(t, leads(state.New()), clock.Steady())
+	message := func(text string) []byte {
+		return append(binary.BigEndian.AppendUint32(nil, uint32(len(text))), text...)
+	}
+	for name, b := range map[string][]byte{
+		"no JSON":                    message("{"),
+		"no part":                    message("{}"),
+		"nobody's beat":              message(`{"beat":{"no":1}}`),
+		"a length of nothing":        {0, 0, 0, 0},
+		"a huge length":              {0xff, 0xff, 0xff, 0xff},
+		"the grantor's orders":       message(`{"no":1,"do":{"op":"orders","orders":[{"k":"grant","n":"allotter","h":"x","term":1}]}}`),
+		"a value of the store":       message(`{"no":1,"do":{"op":"set","key":"k"}}`),
+		"an effect of somebody else": message(`{"no":1,"do":{"op":"begin","key":"0a","who":"a#1","epoch":1}}`),
+		"two names in one session":   append(message(`{"beat":{"from":"x#1","no":1}}`), message(`{"beat":{"from":"y#1","no":1}}`)...),
+		"names without end":          message(fmt.Sprintf(`{"beat":{"from":"x#1","no":1,"stands":[%s"x"]}}`, string(repeat(`"x",`, 100)))),
+		"an end in the middle":       message(`{"beat":{"from":"x#1"}}`)[:9],
+	} {
+		conn, err := net.Dial("tcp", lead.at)
+		if err != nil {
+			t.Fatal(err)
+		}
+		conn.SetDeadline(time.Now().Add(patience))
+		conn.Write(append([]byte{store.ForSessions}, b...))
+		if name == "an end in the middle" {
+			conn.(*net.TCPConn).CloseWrite()
+		}
+		if _, err := io.ReadAll(conn); errors.Is(err, os.ErrDeadlineExceeded) {
+			t.Errorf("%s: the connection stands", name)
+		}
+		conn.Close()
+	}
+	lead.copy.View(func(st *state.State, _ uint64) {
+		if len(st.Duties.Leases)+len(st.Values)+len(st.Effects.Effects) > 0 {
+			t.Errorf("something was changed: %+v %+v %+v", st.Duties.Leases, st.Values, st.Effects.Effects)
+		}
+	})
+}
+
+func repeat(s string, n int) (b []byte) {
+	for range n {
+		b = append(b, s...)
+	}
+	return b
+}
+
+// Sessions past the bound are turned away, and their room is free again when one ends.
+func TestSessionsAreBounded(t *testing.T) {
+	lead := open(t, leads(state.New()), clock.Steady())
+	var conns []net.Conn
+	for range 16 {
+		conn, err := net.Dial("tcp", lead.at)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.Close()
+		conn.SetDeadline(time.Now().Add(patience))
+		conn.Write([]byte{store.ForSessions})
+		conn.Write(must(frame(toCopy{Read: ReadFleet, No: 1})))
+		var m toServer
+		if err := newReader(conn, 0).next(&m); err != nil || m.No != 1 {
+			t.Fatalf("%+v %v", m, err)
+		}
+		conns = append(conns, conn)
+	}
+	over, err := net.Dial("tcp", lead.at)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer over.Close()
+	over.SetDeadline(time.Now().Add(patience))
+	over.Write([]byte{store.ForSessions})
+	if n, err := over.Read(make([]byte, 1)); n > 0 || err == nil {
+		t.Error("one more than the bound is served")
+	}
+	conns[0].Close()
+	late := time.Now().Add(patience)
+	for lead.desk.Figures().Open >= 16 && time.Now().Before(late) {
+		time.Sleep(time.Millisecond)
+	}
+	if f := lead.desk.Figures(); f.Open != 15 || f.Cut == 0 {
+		t.Errorf("%+v", f)
+	}
+}
+
+func must(b []byte, err error) []byte {
+	if err != nil {
+		panic(err)
+	}
+	return b
+}
+
+// The copy that leads falls silent and another takes office with the same log: the holder finds it and keeps its duty.
+func TestHolderKeepsItsDutyOverAChangeOfLeader(t *testing.T) {
+	steady := clock.Steady()
+	st := state.New()
+	first := leads(st)
+	one := open(t, first, steady)
+	second := &oneCopy{st: st, term: 1, other: "one"}
+	two := open(t, second, steady)
+	c, events := join(t, "a#1", map[string]string{"one": one.at, "two": two.at}, steady)
+	g := want(t, events, gains)
+	first.mu.Lock()
+	first.leads, first.other = false, "two"
+	index := first.index
+	first.mu.Unlock()
+	second.mu.Lock()
+	second.leads, second.term, second.index = true, 2, index
+	second.mu.Unlock()
+	want(t, events, func(Linked) bool { return true })
+	want(t, events, func(h duty.Held) bool { return h.Name == "allotter" })
+	if r, ok := c.May("allotter"); !ok || r != g.Ref {
+		t.Errorf("held under %+v, %v; gained under %+v", r, ok, g.Ref)
+	}
+}
+
+// BenchmarkFleet measures on a set clock what servers and duties cost a copy and an order server, by the messages that
+// they exchange; the log's disk and the sockets are not in it.
+func BenchmarkFleet(b *testing.B) {
+	for _, size := range []struct{ servers, duties int }{{12, 5}, {100, 20}, {300, 20}} {
+		b.Run(fmt.Sprintf("servers=%d/duties=%d", size.servers, size.duties), func(b *testing.B) {
+			r := rules
+			r.Duties = nil
+			for i := range size.duties {
+				r.Duties = append(r.Duties, duty.Terms{Name: fmt.Sprintf("duty-%d", i), TTL: 2000})
+			}
+			st, now, index := state.New(), 1000.0, uint64(0)
+			g := &duty.Grantor{Rules: r, Seed: 1}
+			g.Lead(1, now)
+			var fleet []*duty.Machine
+			for i := range size.servers {
+				fleet = append(fleet, duty.NewMachine(r, fmt.Sprintf("os-%d#%016x", i, i), uint64(i)))
+			}
+			var entries, in, out, beats int
+			var ours, theirs time.Duration
+			run := func() { // one second
+				for end := now + 1000; now < end; now += turnEvery {
+					begun := time.Now()
+					var came [][]byte
+					for _, m := range fleet {
+						for _, a := range m.Turn(now) {
+							if s, ok := a.(duty.Send); ok {
+								came = append(came, must(frame(toCopy{Beat: &s.Beat})))
+							}
+						}
+					}
+					theirs += time.Since(begun)
+					begun = time.Now()
+					var orders []duty.Order
+					var from []duty.Beat
+					for _, f := range came {
+						var m toCopy
+						if err := json.Unmarshal(f[4:], &m); err != nil {
+							b.Fatal(err)
+						}
+						in += len(f)
+						from = append(from, *m.Beat)
+						orders = append(orders, g.Take(now, *m.Beat, st.Duties)...)
+					}
+					orders = append(orders, g.Turn(now, st.Duties)...)
+					if len(orders)+len(came) > 0 {
+						entries++
+						index++
+					}
+					st.Apply(state.Command{Op: state.Orders, Orders: orders}, 1)
+					for _, o := range orders {
+						g.Done(now, o, st.Duties)
+					}
+					var told [][]byte
+					for _, f := range from {
+						a := g.Answer(f.From, f.No, index, st.Duties)
+						told = append(told, must(frame(toServer{Told: &a})))
+						out += len(told[len(told)-1])
+					}
+					ours += time.Since(begun)
+					begun = time.Now()
+					for i, f := range told {
+						var m toServer
+						if err := json.Unmarshal(f[4:], &m); err != nil {
+							b.Fatal(err)
+						}
+						for _, s := range fleet {
+							if s.Me == from[i].From {
+								s.Told(now, *m.Told)
+							}
+						}
+					}
+					theirs += time.Since(begun)
+					beats += len(came)
+				}
+			}
+			run()
+			run()
+			entries, in, out, beats, ours, theirs = 0, 0, 0, 0, 0, 0
+			for b.Loop() {
+				run()
+			}
+			n := float64(b.N)
+			b.ReportMetric(float64(entries)/n, "entries/s")
+			b.ReportMetric(float64(beats)/n, "beats/s")
+			b.ReportMetric(float64(in)/n, "bytes-in/s")
+			b.ReportMetric(float64(out)/n, "bytes-out/s")
+			b.ReportMetric(float64(ours.Microseconds())/n, "copy-µs/s")
+			b.ReportMetric(float64(theirs.Microseconds())/n/float64(size.servers), "server-µs/s")
+		})
+	}
+}
--- /dev/null
+++ b/internal/net/session/wire.go
@@ -0,0 +1,183 @@
+// Package session is the way between order servers and the copies of the store: one connection a server for all of its
+// duties, its share, its acts and its effects. A Desk serves sessions at a copy, a Client holds one.
+//
+// A message is a length of four bytes, the highest first, and so many bytes of JSON.
+package session
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/binary"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"time"
+
+	"puffinsaddle/internal/allot"
+	"puffinsaddle/internal/duty"
+	"puffinsaddle/internal/state"
+)
+
+const (
+	mostMessage = 512 << 10       // bytes of one message; a published version is the largest
+	messageFor  = 2 * time.Second // a message is read whole within this from its first byte, or written
+	mostUnsent  = 256             // messages that wait for a peer that does not read; past this it is cut off
+)
+
+// Errors of sessions.
+var (
+	ErrUnconfirmed = errors.New("session: not confirmed: it may have been carried out, or may still be")
+	ErrNotSent     = errors.New("session: no copy that leads is reached: nothing was carried out")
+	ErrStale       = errors.New("session: refused for its epoch")
+)
+
+// toCopy is a message of an order server. One of its parts is set.
+type toCopy struct {
+	Beat *duty.Beat     `json:"beat,omitempty"`
+	Ack  uint64         `json:"ack,omitempty"`  // with a beat: the version of the share that is in use
+	Need int64          `json:"need,omitempty"` // with a beat: what it could use beyond its part for being alone
+	No   uint64         `json:"no,omitempty"`   // of a command or a question
+	Do   *state.Command `json:"do,omitempty"`
+	Read string         `json:"read,omitempty"`
+}
+
+// toServer is a message of a copy. One of its parts is set.
+type toServer struct {
+	Told    *duty.Told      `json:"told,omitempty"`
+	Share   *allot.Share    `json:"share,omitempty"`   // with told
+	Version uint64          `json:"version,omitempty"` // with told: the latest published
+	Refused uint64          `json:"refused,omitempty"` // with told: acts of this server's duties refused for their epoch
+	No      uint64          `json:"no,omitempty"`
+	Result  *state.Result   `json:"result,omitempty"`
+	Body    json.RawMessage `json:"body,omitempty"` // the answer to a question
+	Error   string          `json:"error,omitempty"`
+	Else    *string         `json:"else,omitempty"` // the id of the copy that leads, as far as this one knows
+}
+
+// Questions.
+const (
+	ReadFleet   = "fleet"
+	ReadEffects = "effects"
+	ReadDuties  = "duties"
+	ReadVersion = "version"
+)
+
+// Fleet is the answer to ReadFleet.
+type Fleet struct {
+	Pool int64        `json:"pool"`
+	Of   []allot.Need `json:"of"`
+}
+
+// Effects is the answer to ReadEffects.
+type Effects struct {
+	Seq     uint64   `json:"seq"`
+	Kept    int      `json:"kept"`
+	Orphans []string `json:"orphans"`
+}
+
+// Duties is the answer to ReadDuties.
+type Duties struct {
+	Table *duty.Table       `json:"table"`
+	Marks map[string]uint64 `json:"marks"`
+	Stale map[string]uint64 `json:"stale"` // acts refused for their epoch
+	Words map[string]string `json:"words"` // what each process made of the latest version it looked at
+	Term  uint64            `json:"term"`
+	Lead  string            `json:"lead"`
+}
+
+func frame(v any) ([]byte, error) {
+	b, err := json.Marshal(v)
+	if err != nil {
+		return nil, err
+	}
+	if len(b) > mostMessage {
+		return nil, fmt.Errorf("session: a message of %d bytes, %d at most", len(b), mostMessage)
+	}
+	return append(binary.BigEndian.AppendUint32(make([]byte, 0, len(b)+4), uint32(len(b))), b...), nil
+}
+
+// reader reads messages. One that is malformed, too large or too slow in coming is an error, after which the
+// connection is of no use.
+type reader struct {
+	conn net.Conn
+	r    *bufio.Reader
+	idle time.Duration // for the first byte of a message; 0: any time
+}
+
+func newReader(conn net.Conn, idle time.Duration) *reader {
+	return &reader{conn: conn, r: bufio.NewReaderSize(conn, 16<<10), idle: idle}
+}
+
+func (r *reader) next(into any) error {
+	var until time.Time
+	if r.idle > 0 {
+		until = time.Now().Add(r.idle)
+	}
+	r.conn.SetReadDeadline(until)
+	if _, err := r.r.Peek(1); err != nil {
+		return err
+	}
+	r.conn.SetReadDeadline(time.Now().Add(messageFor))
+	var head [4]byte
+	if _, err := io.ReadFull(r.r, head[:]); err != nil {
+		return err
+	}
+	n := binary.BigEndian.Uint32(head[:])
+	if n == 0 || n > mostMessage {
+		return fmt.Errorf("session: a message of %d bytes, %d at most", n, mostMessage)
+	}
+	// Read as it comes: a length alone must take no memory.
+	var b bytes.Buffer
+	if _, err := io.CopyN(&b, r.r, int64(n)); err != nil {
+		return err
+	}
+	if err := json.Unmarshal(b.Bytes(), into); err != nil {
+		return fmt.Errorf("session: malformed: %w", err)
+	}
+	return nil
+}
+
+// line writes messages to one peer, and never makes a sender wait.
+type line struct {
+	conn net.Conn
+	out  chan []byte
+	done chan struct{}
+}
+
+func newLine(conn net.Conn) *line {
+	l := &line{conn: conn, out: make(chan []byte, mostUnsent), done: make(chan struct{})}
+	go func() {
+		defer conn.Close()
+		for {
+			select {
+			case b := <-l.out:
+				conn.SetWriteDeadline(time.Now().Add(messageFor))
+				if _, err := conn.Write(b); err != nil {
+					return
+				}
+			case <-l.done:
+				return
+			}
+		}
+	}()
+	return l
+}
+
+// send queues a message; a peer that does not read is cut off.
+func (l *line) send(v any) {
+	b, err := frame(v)
+	if err != nil {
+		b, err = frame(toServer{Error: err.Error()})
+	}
+	if err != nil {
+		l.conn.Close()
+		return
+	}
+	select {
+	case l.out <- b:
+	default:
+		l.conn.Close()
+	}
+}
--- a/internal/net/uwsgi/runner.go
+++ b/internal/net/uwsgi/runner.go
@@ -23,7 +23,7 @@
 
 // Runner runs requests by sending them to uwsgi servers.
 type Runner struct {
-	servers    []string
+	servers    atomic.Pointer[[]string]
 	mostResult int
 	clock      *clock.Clock
 	log        zerolog.Logger
@@ -33,9 +33,14 @@
 
 // NewRunner makes a runner behind the core.
 func NewRunner(set config.UWSGI, clk *clock.Clock, log zerolog.Logger) *Runner {
-	return &Runner{servers: set.Servers, mostResult: set.MaxResult, clock: clk, log: log}
+	r := &Runner{mostResult: set.MaxResult, clock: clk, log: log}
+	r.Move(set.Servers)
+	return r
 }
 
+// Move sends what starts from now on to other servers.
+func (r *Runner) Move(servers []string) { r.servers.Store(&servers) }
+
 // Start sends the request on, and tells the end.
 func (r *Runner) Start(a *core.Attempt) {
 	go func() {
@@ -67,9 +72,10 @@
 		return policy.Moot, nil, err
 	}
 	var conn net.Conn
-	first := r.next.Add(1)
-	for i := range r.servers {
-		at := r.servers[(int(first)+i)%len(r.servers)]
+	first, servers := r.next.Add(1), *r.servers.Load()
+	err = errors.New("no uwsgi server is left")
+	for i := range servers {
+		at := servers[(int(first)+i)%len(servers)]
 		if conn, err = r.dialer.DialContext(ctx, "tcp", at); err == nil {
 			break
 		}
--- a/internal/store/layer.go
+++ b/internal/store/layer.go
@@ -12,6 +12,9 @@
 const (
 	forRaft   = 'R'
 	forWrites = 'W' // writes sent on to the leader
+
+	// ForSessions opens a session of an order server, which need not keep a copy.
+	ForSessions = 'S'
 )
 
 const helloFor = 2 * time.Second
@@ -22,12 +25,22 @@
 	net.Listener
 	raft   chan net.Conn
 	writes func(net.Conn)
+	via    map[string]string // where this node reaches an address, if elsewhere
 	done   chan struct{}
 	once   sync.Once
+
+	mu       sync.Mutex
+	sessions func(net.Conn) // nil: none are served
+}
+
+func newLayer(ln net.Listener, writes func(net.Conn), via map[string]string) *layer {
+	return &layer{Listener: ln, raft: make(chan net.Conn), writes: writes, via: via, done: make(chan struct{})}
 }
 
-func newLayer(ln net.Listener, writes func(net.Conn)) *layer {
-	return &layer{Listener: ln, raft: make(chan net.Conn), writes: writes, done: make(chan struct{})}
+func (l *layer) session() func(net.Conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.sessions
 }
 
 func (l *layer) run() {
@@ -58,6 +71,11 @@
 		}
 	case forWrites:
 		l.writes(conn)
+	case ForSessions:
+		if serve := l.session(); serve != nil {
+			serve(conn) // closes it
+			return
+		}
 	}
 	conn.Close()
 }
@@ -80,10 +98,13 @@
 
 // Dial opens one of raft's connections.
 func (l *layer) Dial(at raft.ServerAddress, timeout time.Duration) (net.Conn, error) {
-	return dial(string(at), forRaft, timeout)
+	return l.dial(string(at), forRaft, timeout)
 }
 
-func dial(at string, purpose byte, timeout time.Duration) (net.Conn, error) {
+func (l *layer) dial(at string, purpose byte, timeout time.Duration) (net.Conn, error) {
+	if via := l.via[at]; via != "" {
+		at = via
+	}
 	conn, err := net.DialTimeout("tcp", at, timeout)
 	if err != nil {
 		return nil, err
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -16,6 +16,8 @@
 
 	"github.com/hashicorp/raft"
 	boltdb "github.com/hashicorp/raft-boltdb/v2"
+
+	"puffinsaddle/internal/state"
 )
 
 // ErrNoQuorum is the error of a write that no majority took. It may still be carried out later.
@@ -23,8 +25,10 @@
 
 const (
 	writeFor      = 2 * time.Second
+	mostWrite     = 1 << 20 // bytes of one write
 	keepSnapshots = 2
-	snapshotAfter = 8192 // log entries
+	leaderFor     = 500 * time.Millisecond // a leader that is not heard for so long, up to twice that, is replaced
+	snapshotAfter = 8192                   // log entries
 )
 
 // Options set up one node.
@@ -33,7 +37,11 @@
 	Listen string
 	Dir    string
 	Peers  map[string]string // id and address of each node, this one included; used at the very first start
+	Via    map[string]string // addresses of peers that this node reaches elsewhere, and where
 	Log    io.Writer
+
+	Watch func(index, term uint64, c state.Command, r state.Result) // called for each entry that is applied, in order; must not wait
+	Plant string                                                    // a planted bug, for the laboratory; "": none
 }
 
 // Store is one node.
@@ -58,7 +66,8 @@
 		return nil, fmt.Errorf("store: %w", err)
 	}
 	s := &Store{machine: newMachine()}
-	s.layer = newLayer(ln, s.serveWrite)
+	s.machine.watch, s.machine.plant, s.machine.state.Plant = o.Watch, o.Plant, o.Plant
+	s.layer = newLayer(ln, s.serveWrite, o.Via)
 	s.trans = raft.NewNetworkTransport(s.layer, 3, writeFor, o.Log)
 	if s.bolt, err = boltdb.NewBoltStore(filepath.Join(o.Dir, "raft.db")); err != nil {
 		ln.Close()
@@ -69,6 +78,8 @@
 		conf := raft.DefaultConfig()
 		conf.LocalID, conf.LogOutput, conf.SnapshotThreshold = raft.ServerID(o.ID), o.Log, snapshotAfter
 		conf.LogLevel = "WARN"
+		// A leader's end must be found, and another one chosen, before those who hold duties have to give them up.
+		conf.HeartbeatTimeout, conf.ElectionTimeout, conf.LeaderLeaseTimeout = leaderFor, leaderFor, leaderFor/2
 		s.raft, err = raft.NewRaft(conf, s.machine, s.bolt, s.bolt, snapshots, s.trans)
 	}
 	if err != nil {
@@ -123,7 +134,7 @@
 func (s *Store) Get(key string) ([]byte, bool) {
 	s.machine.mu.Lock()
 	defer s.machine.mu.Unlock()
-	v, ok := s.machine.values[key]
+	v, ok := s.machine.state.Values[key]
 	return v, ok
 }
 
@@ -136,19 +147,19 @@
 
 // Set writes a key.
 func (s *Store) Set(key string, value []byte) error {
-	_, err := s.write(command{Op: "set", Key: key, Value: value})
+	_, err := s.write(state.Command{Op: state.Set, Key: key, Value: value})
 	return err
 }
 
 // Delete removes a key.
 func (s *Store) Delete(key string) error {
-	_, err := s.write(command{Op: "delete", Key: key})
+	_, err := s.write(state.Command{Op: state.Delete, Key: key})
 	return err
 }
 
 // Begin records that an effect begins; false: it is recorded already.
 func (s *Store) Begin(id string) (bool, error) {
-	return s.write(command{Op: "begin", Key: effects + id})
+	return s.write(state.Command{Op: state.Begin, Key: id})
 }
 
 // Snapshot writes the state to the node's folder now.
@@ -156,72 +167,126 @@
 
 // answer is the leader's word on a write.
 type answer struct {
-	Fresh bool   `json:"fresh"`
-	Error string `json:"error,omitempty"`
+	Fresh   bool   `json:"fresh"`
+	Refused string `json:"refused,omitempty"` // agreed on, and then refused
+	Error   string `json:"error,omitempty"`   // not confirmed
 }
 
 // write hands a command to the leader, here or elsewhere. It is sent once: one that gets no answer may have
 // been taken.
-func (s *Store) write(c command) (bool, error) {
+func (s *Store) write(c state.Command) (bool, error) {
+	var r state.Result
+	var err error
 	if s.raft.State() == raft.Leader {
-		return s.apply(c)
+		r, err = s.apply(c)
+	} else {
+		r, err = s.forward(c)
+	}
+	if err == nil && r.Error != "" {
+		err = errors.New(r.Error)
 	}
+	return err == nil && r.Fresh, err
+}
+
+func (s *Store) forward(c state.Command) (r state.Result, err error) {
 	at, _ := s.raft.LeaderWithID()
 	if at == "" {
-		return false, ErrNoQuorum
+		return r, ErrNoQuorum
 	}
-	conn, err := dial(string(at), forWrites, writeFor)
+	conn, err := s.layer.dial(string(at), forWrites, writeFor)
 	if err != nil {
-		return false, fmt.Errorf("%w: %v", ErrNoQuorum, err)
+		return r, fmt.Errorf("%w: %v", ErrNoQuorum, err)
 	}
 	defer conn.Close()
 	conn.SetDeadline(time.Now().Add(2 * writeFor))
 	var a answer
-	if err := json.NewEncoder(conn).Encode(c); err == nil {
+	if err = json.NewEncoder(conn).Encode(c); err == nil {
 		err = json.NewDecoder(conn).Decode(&a)
-		if err == nil && a.Error == "" {
-			return a.Fresh, nil
-		}
-		return false, fmt.Errorf("%w: %v %s", ErrNoQuorum, err, a.Error)
 	}
-	return false, ErrNoQuorum
+	if err != nil || a.Error != "" {
+		return r, fmt.Errorf("%w: %v %s", ErrNoQuorum, err, a.Error)
+	}
+	return state.Result{Fresh: a.Fresh, Error: a.Refused}, nil
 }
 
-func (s *Store) apply(c command) (bool, error) {
+func (s *Store) apply(c state.Command) (state.Result, error) { return s.Propose(c)() }
+
+// Propose hands a command to the log of this node, which has to lead; the function it returns waits for what the
+// command came to. An error leaves open whether it will be carried out. Commands are carried out in the order in which
+// one goroutine proposes them.
+func (s *Store) Propose(c state.Command) func() (state.Result, error) {
 	b, err := json.Marshal(c)
 	if err != nil {
-		return false, err
+		return func() (state.Result, error) { return state.Result{}, err }
 	}
 	f := s.raft.Apply(b, writeFor)
-	if err := f.Error(); err != nil {
-		return false, fmt.Errorf("%w: %v", ErrNoQuorum, err)
-	}
-	switch r := f.Response().(type) {
-	case bool:
+	return func() (state.Result, error) {
+		if err := f.Error(); err != nil {
+			return state.Result{}, fmt.Errorf("%w: %v", ErrNoQuorum, err)
+		}
+		r, _ := f.Response().(state.Result)
 		return r, nil
-	case error:
-		return false, r
 	}
-	return false, nil
+}
+
+// Prove writes an entry that changes nothing; the function it returns waits until a majority has it, which proves that
+// this node led, and knew all that was agreed on, at some time after the call. raft's own VerifyLeader does not: it also
+// counts answers to heartbeats that were sent before the call, and a node that stood still for a while, then reads one,
+// would take itself for the leader that it was.
+func (s *Store) Prove() func() error {
+	f := s.raft.Barrier(writeFor)
+	return f.Error
+}
+
+// Office tells whether this node believes that it leads, and in which term.
+func (s *Store) Office() (term uint64, leads bool) {
+	term = s.raft.CurrentTerm()
+	leads = s.raft.State() == raft.Leader
+	return term, leads && term == s.raft.CurrentTerm()
+}
+
+// Leader is the id of the node that leads, for all that this one knows; "": none.
+func (s *Store) Leader() string {
+	_, id := s.raft.LeaderWithID()
+	return string(id)
+}
+
+// View lets look at the state, which must not be changed or kept; index is a position of the log up to which it holds
+// at least.
+func (s *Store) View(look func(st *state.State, index uint64)) {
+	index := s.raft.AppliedIndex()
+	s.machine.mu.Lock()
+	defer s.machine.mu.Unlock()
+	look(s.machine.state, index)
+}
+
+// ServeSessions hands connections of order servers to serve, which closes them.
+func (s *Store) ServeSessions(serve func(net.Conn)) {
+	s.layer.mu.Lock()
+	defer s.layer.mu.Unlock()
+	s.layer.sessions = serve
 }
 
 // serveWrite takes one write from another node.
 func (s *Store) serveWrite(conn net.Conn) {
 	conn.SetDeadline(time.Now().Add(2 * writeFor))
-	var c command
-	if err := json.NewDecoder(conn).Decode(&c); err != nil {
+	var c state.Command
+	if err := json.NewDecoder(io.LimitReader(conn, mostWrite)).Decode(&c); err != nil {
 		return
 	}
-	var a answer
-	var err error
-	if a.Fresh, err = s.apply(c); err != nil {
+	r, err := s.apply(c)
+	a := answer{Fresh: r.Fresh, Refused: r.Error}
+	if err != nil {
 		a.Error = err.Error()
 	}
 	json.NewEncoder(conn).Encode(a)
 }
 
-// Close stops the node.
+// Close stops the node. One that leads hands that on first, so that writes wait for no election.
 func (s *Store) Close() error {
+	if s.raft.State() == raft.Leader {
+		s.raft.LeadershipTransfer().Error() // where nobody can take it, an election will tell
+	}
 	err := s.raft.Shutdown().Error()
 	s.trans.Close()
 	s.layer.Close()
--- a/policy/settings.go
+++ b/policy/settings.go
@@ -57,3 +57,21 @@
 	}
 	return nil
 }
+
+// SetBelowShare puts another share of the calls below into force, as BelowShare of the settings: a share that is divided
+// among servers while they run changes more often than settings do.
+func (n *Instance) SetBelowShare(share float64) {
+	if share >= 0 && !math.IsInf(share, 0) {
+		n.set.BelowShare = share
+	}
+}
+
+// BelowTime tells how long calls below were in hand over the span of the rule, and how long that is: their ratio is
+// what this server has used of its share.
+func (n *Instance) BelowTime() (inHand, span float64) {
+	if n.set.CallSpan <= 0 {
+		return 0, 0
+	}
+	n.countCalls()
+	return n.callTime, float64(n.set.CallSpan)
+}
