--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -9,7 +9,8 @@
 	"github.com/rs/zerolog"
 
 	"puffinsaddle/internal/clock"
-	"puffinsaddle/internal/net/pool"
+	"puffinsaddle/internal/mailbox"
+	"puffinsaddle/internal/pool"
 	"puffinsaddle/policy"
 )
 
@@ -31,7 +32,7 @@
 	below  Below
 	ledger Ledger
 
-	inbox *mailbox[event]
+	inbox *mailbox.Box[event]
 	stop  chan struct{}
 
 	// What the fronts read.
@@ -46,6 +47,9 @@
 	yields atomic.Bool  // a successor took over: the module's state of draining is no state of the server
 	away   atomic.Bool  // operators want callers to stay away
 
+	share func() float64 // what may be used below now; nil: what the settings say
+	used  atomic.Uint64  // bits of what was used of it in the span of the rule
+
 	mu     sync.Mutex
 	lives  map[policy.ID]*Life
 	byWire map[string]*Life
@@ -72,12 +76,13 @@
 	cold   bool
 	drain  float64          // when the process will be stopped
 	set    *policy.Settings // in force from now on
+	call   func()
 }
 
 // New makes a core; Run has to be called for it to serve.
 func New(clk *clock.Clock, log zerolog.Logger, set policy.Settings, seed uint64, runner Runner, below Below, ledger Ledger) *Core {
 	c := &Core{clock: clk, log: log, tick: clock.Millis(set.Tick), seed: seed, runner: runner, below: below,
-		ledger: ledger, inbox: newMailbox[event](), stop: make(chan struct{}), lives: map[policy.ID]*Life{},
+		ledger: ledger, inbox: mailbox.New[event](), stop: make(chan struct{}), lives: map[policy.ID]*Life{},
 		byWire: map[string]*Life{}, keys: newKeyTable(clock.Millis(set.FreshFor))}
 	c.counts.of = map[string]*classCount{}
 	c.adopt(set)
@@ -90,7 +95,17 @@
 }
 
 // Adopt puts other settings into force, which have passed the module's check. Open requests keep their class.
-func (c *Core) Adopt(set policy.Settings) { c.inbox.put(event{set: &set}) }
+func (c *Core) Adopt(set policy.Settings) { c.inbox.Put(event{set: &set}) }
+
+// Divide lets another than the settings say what may be used below; it is asked before each choice, and must not wait.
+// To be called before Run.
+func (c *Core) Divide(share func() float64) { c.share = share }
+
+// Below is what was used below of late, in calls in hand; 0 where nothing divides.
+func (c *Core) Below() float64 { return math.Float64frombits(c.used.Load()) }
+
+// Then calls back, on the owner's goroutine, once every choice rests on what is in force now. It must not wait.
+func (c *Core) Then(call func()) { c.inbox.Put(event{call: call}) }
 
 func (c *Core) adopt(set policy.Settings) {
 	c.set, c.class, c.keys.fresh = set, map[string]policy.Class{}, clock.Millis(set.FreshFor)
@@ -111,7 +126,7 @@
 
 // Open takes a request in. answer is called once at most, and not after Gone was heard in time.
 func (c *Core) Open(q *Request, answer func(Outcome)) *Life {
-	l := &Life{core: c, req: q, box: newMailbox[any](), reply: answer}
+	l := &Life{core: c, req: q, box: mailbox.New[any](), reply: answer}
 	c.mu.Lock()
 	twin := c.byWire[q.ID] != nil
 	if twin || len(c.lives) >= mostOpen {
@@ -149,18 +164,21 @@
 
 // Up tells that the runner is up, and whether it started cold.
 func (c *Core) Up(cold bool) {
-	c.inbox.put(event{start: true, cold: cold})
+	c.inbox.Put(event{start: true, cold: cold})
 	c.up.Store(true)
 }
 
 // Ready tells whether requests can be served: the runner was up once.
 func (c *Core) Ready() bool { return c.up.Load() }
 
+// Good tells whether checks would get a good answer, operators' orders aside.
+func (c *Core) Good() bool { return c.good.Load() }
+
 // Away answers checks with a bad state, or no longer does, by an operator's order; what comes is served all the same.
 func (c *Core) Away(away bool) { c.away.Store(away) }
 
 // Drain tells the module that the process will be stopped at that time.
-func (c *Core) Drain(stopAt float64) { c.inbox.put(event{drain: stopAt}) }
+func (c *Core) Drain(stopAt float64) { c.inbox.Put(event{drain: stopAt}) }
 
 // Health answers a check: from the module's setting, or where that says so by real work.
 func (c *Core) Health(deep bool, answer func(good bool)) {
@@ -195,11 +213,11 @@
 	return ok && err == nil, err
 }
 
-func (c *Core) tell(l *Life, e policy.Event) { c.inbox.put(event{life: l, event: e}) }
+func (c *Core) tell(l *Life, e policy.Event) { c.inbox.Put(event{life: l, event: e}) }
 
 // finish tells the end of a run; the owner keeps the result where others may share it.
 func (c *Core) finish(l *Life, n Notice) {
-	c.inbox.put(event{life: l, notice: n, event: policy.Finished{ID: l.id, Outcome: n.Outcome, Took: clock.Duration(n.Took)}})
+	c.inbox.Put(event{life: l, notice: n, event: policy.Finished{ID: l.id, Outcome: n.Outcome, Took: clock.Duration(n.Took)}})
 }
 
 // Stop ends Run.
@@ -212,14 +230,14 @@
 		select {
 		case <-c.stop:
 			return
-		case <-c.inbox.ready:
+		case <-c.inbox.Ready:
 		}
 		now := c.clock.Now()
 		c.last = min(c.last, now) // a clock that was set back must not stop us
 		if rest := c.last + clock.Millis(c.set.Tick) - now; rest > 0 {
 			if !c.armed {
 				c.armed = true
-				c.clock.After(rest, c.inbox.poke)
+				c.clock.After(rest, c.inbox.Poke)
 			}
 			continue
 		}
@@ -230,7 +248,7 @@
 
 // turn is one call of the module.
 func (c *Core) turn(now float64) {
-	c.batch = c.inbox.take(c.batch)
+	c.batch = c.inbox.Take(c.batch)
 	c.events = c.events[:0]
 	for _, e := range c.batch {
 		switch {
@@ -239,6 +257,9 @@
 		case e.set != nil:
 			c.handle(now) // what came before keeps its class
 			c.adopt(*e.set)
+		case e.call != nil:
+			c.handle(now)
+			e.call()
 		case e.drain > 0:
 			c.start(now, false)
 			c.events = append(c.events, policy.DrainNotice{Left: clock.Duration(max(e.drain-now, 0))})
@@ -254,7 +275,7 @@
 	c.handle(now)
 	for i, e := range c.batch {
 		if _, left := e.event.(policy.CallerGone); left && !e.life.begun {
-			e.life.box.put(dismissed{})
+			e.life.box.Put(dismissed{})
 		}
 		pool.Put(e.notice.Body)
 		c.batch[i] = event{}
@@ -267,6 +288,12 @@
 	if c.module == nil {
 		return
 	}
+	if c.share != nil { // looked at before each choice: one that ran out must carry no further call
+		c.module.SetBelowShare(c.share())
+		if inHand, span := c.module.BelowTime(); span > 0 {
+			c.used.Store(math.Float64bits(inHand / span))
+		}
+	}
 	for _, a := range c.module.Handle(clock.Duration(now-c.born), c.events) {
 		c.act(now, a)
 	}
@@ -320,13 +347,13 @@
 	case policy.Start:
 		if l := c.life(a.ID); l != nil {
 			l.begun = true
-			l.box.put(a)
+			l.box.Put(a)
 		}
 	case policy.ShareResult:
 		if l := c.life(a.ID); l != nil {
 			l.begun = true // its end is told by the share
 			result, ok := c.keys.result(l.req)
-			l.box.put(shared{ok: ok, result: result})
+			l.box.Put(shared{ok: ok, result: result})
 		}
 	case policy.Refuse:
 		c.order(a.ID, a)
@@ -363,9 +390,9 @@
 
 // wake looks at the time at once, so that no due answer waits for the gauges, and hands these in once read.
 func (c *Core) wake(token uint64) {
-	c.inbox.put(event{})
+	c.inbox.Put(event{})
 	c.runner.Meter(func(gauges []float64) {
-		c.inbox.put(event{event: policy.Woke{Token: token, Gauges: gauges}})
+		c.inbox.Put(event{event: policy.Woke{Token: token, Gauges: gauges}})
 	})
 }
 
@@ -377,6 +404,6 @@
 
 func (c *Core) order(id policy.ID, a policy.Action) {
 	if l := c.life(id); l != nil {
-		l.box.put(a)
+		l.box.Put(a)
 	}
 }
