Bound calls where a share ran out to nothing; keep the laboratory's files out of service

A divided share of 0 (alone: 0, presence lost) was taken for a share that nobody told, so a server cut off from the copies had no bound on its calls below: policy's callRoom takes BelowShare <= 0 for none. A file of the laboratory's that was left lying about would have started a server with a planted bug. The desk counted every session that ended as cut off. A late answer with an error closed a client's session. Change: a share of nothing is the least number above 0; lab needs PUFFINSADDLE_LAB, which the laboratory sets, and names a plant that there is; only what was malformed, too slow or over the bound counts as cut. Tests for the share as the core asks for it, for the ledger that hears ends, and no sleep in the one on the bound of sessions.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -26,6 +26,7 @@
 	OperatorConns = 16 // calls of operators open at once
 
 	operatorFile = "PUFFINSADDLE_OPERATOR" // names the operator's file
+	laboratory   = "PUFFINSADDLE_LAB"      // set by the laboratory for what it starts
 )
 
 // Config is all that the program is told.
@@ -79,6 +80,9 @@
 		if c.Operator, err = LoadOperator(v); err != nil {
 			return nil, err
 		}
+		if c.Operator.Lab != (Lab{}) && getenv(laboratory) == "" { // a file of the laboratory's that was left lying about
+			return nil, fmt.Errorf(`%s: "lab" is set, and this process is not the laboratory's (%s)`, v, laboratory)
+		}
 	}
 	return c, c.check()
 }
--- a/internal/config/duties.go
+++ b/internal/config/duties.go
@@ -207,5 +207,8 @@
 	if !(l.Rate >= 0) || l.Rate > 10 {
 		return errors.New("lab.clock_rate must be from 0 to 10")
 	}
+	if l.Plant != "" && !slices.Contains(duty.Plants, l.Plant) {
+		return fmt.Errorf("lab.plant: there is no %q", l.Plant)
+	}
 	return nil
 }
--- a/internal/config/duties_test.go
+++ b/internal/config/duties_test.go
@@ -58,3 +58,17 @@
 		}
 	}
 }
+
+// A file that the laboratory wrote, with a planted bug in it, is no operator's.
+func TestLaboratoryFilesAreRefusedElsewhere(t *testing.T) {
+	file := "lab: {plant: unfenced}\n"
+	if _, err := load(t, good, file, nil); err == nil || !strings.Contains(err.Error(), `"lab" is set`) {
+		t.Errorf("%v", err)
+	}
+	if _, err := load(t, good, file, map[string]string{"PUFFINSADDLE_LAB": "1"}); err != nil {
+		t.Error(err)
+	}
+	if _, err := ParseOperator([]byte("lab: {plant: nonsense}\n")); err == nil || !strings.Contains(err.Error(), "lab.plant") {
+		t.Errorf("%v", err)
+	}
+}
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"runtime"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -174,3 +175,71 @@
 		t.Errorf("figures %+v", f)
 	}
 }
+
+// settled is a ledger that hears how effects end.
+type settled struct {
+	noQuorum
+	ended chan string
+}
+
+func (s settled) Begin(string) (bool, error) { return true, nil }
+func (s settled) Ended(id string, ok bool)   { s.ended <- fmt.Sprint(id, " ", ok) }
+
+func TestLedgerHearsHowEffectsEnd(t *testing.T) {
+	l := settled{ended: make(chan string, 10)}
+	r := newRig(t, l)
+	r.open(1, "read", "", begin)
+	r.end(<-r.hand.started, "A", 1)
+	r.want("1 0 A")
+	r.open(2, "book", "", begin)
+	r.end(<-r.hand.started, "B", 1)
+	r.want("2 0 B")
+	if got := <-l.ended; got != fmt.Sprintf("%016x true", 2) {
+		t.Errorf("heard %q", got)
+	}
+	r.open(3, "book", "", begin)
+	a := <-r.hand.started
+	a.Notify(Notice{Ended: true, Outcome: policy.Failed})
+	if got := <-l.ended; got != fmt.Sprintf("%016x false", 3) {
+		t.Errorf("heard %q", got)
+	}
+}
+
+// caller is a Runner and a Below that tell what the module chose at a call.
+type caller struct {
+	hand
+	chose chan string
+}
+
+func (c *caller) Skip(*Attempt, uint64) { c.chose <- "skip" }
+func (c *caller) Call(ctx context.Context, _ string, _ float64, _ []byte) (policy.Outcome, []byte) {
+	c.chose <- "call"
+	return policy.OK, nil
+}
+
+// The share is asked for before each choice, and what is put off until it is in force comes after.
+func TestShareIsAskedForBeforeEachChoice(t *testing.T) {
+	set := testSettings
+	set.Below, set.BelowShare, set.CallSpan = true, 100, 5*time.Second
+	set.Classes = []policy.Class{{Name: "read", Aim: 2 * time.Second, Deadline: 5 * time.Second, Worth: 1, Calls: true, SkipWorth: 0.5}}
+	h := &caller{hand{make(chan *Attempt, 10)}, make(chan string, 10)}
+	clk := clock.Manual(begin)
+	c := New(clk, zerolog.Nop(), set, 1, h, h, nil)
+	var share atomic.Int64
+	c.Divide(func() float64 { return float64(share.Load()) })
+	c.Up(false)
+	go c.Run()
+	t.Cleanup(c.Stop)
+	for id, want := range []string{"skip", "call", "skip"} {
+		share.Store(int64(100 * (id % 2)))
+		in := make(chan struct{})
+		c.Then(func() { close(in) })
+		<-in
+		c.Open(&Request{ID: fmt.Sprintf("%016x", id), Class: "read", At: begin, Wait: 3000, KB: 1}, func(Outcome) {})
+		a := <-h.started
+		a.Notify(Notice{N: 1})
+		if got := <-h.chose; got != want {
+			t.Errorf("with a share of %d: %s, want %s", share.Load(), got, want)
+		}
+	}
+}
--- a/internal/duty/grantor.go
+++ b/internal/duty/grantor.go
@@ -42,6 +42,9 @@
 	PlantUnproven     = "unproven"            // a beat is answered without an entry of the log that proves the leadership
 )
 
+// Plants are all of them.
+var Plants = []string{PlantLateDeadline, PlantHastyLeader, PlantUnfenced, PlantEarlyGrowth, PlantUnproven}
+
 // Grantor is the timing of the copy that leads. Its decisions become true by the log alone.
 type Grantor struct {
 	Rules
--- a/internal/lab/cmd.go
+++ b/internal/lab/cmd.go
@@ -76,9 +76,6 @@
 	Max float64 `json:"max"`
 }
 
-// Plants can be asked for by name.
-var Plants = []string{duty.PlantLateDeadline, duty.PlantHastyLeader, duty.PlantUnfenced, duty.PlantEarlyGrowth, duty.PlantUnproven}
-
 // Run plays.
 func (c *DutiesCmd) Run(out io.Writer) error {
 	if c.List {
@@ -87,7 +84,7 @@
 			fmt.Fprintf(out, "  %-8s %s\n", s.Name, s.Text)
 		}
 		fmt.Fprintln(out, "plants:")
-		for _, p := range Plants {
+		for _, p := range duty.Plants {
 			fmt.Fprintln(out, "  "+p)
 		}
 		return nil
@@ -160,8 +157,8 @@
 		return Setup{}, err
 	case !known:
 		return Setup{}, &WrongUse{fmt.Sprintf("no scenario %q; --list names them", c.Scenario)}
-	case c.Plant != "" && !slices.Contains(Plants, c.Plant):
-		return Setup{}, &WrongUse{fmt.Sprintf("no plant %q; there are %s", c.Plant, strings.Join(Plants, ", "))}
+	case c.Plant != "" && !slices.Contains(duty.Plants, c.Plant):
+		return Setup{}, &WrongUse{fmt.Sprintf("no plant %q; there are %s", c.Plant, strings.Join(duty.Plants, ", "))}
 	case c.Copies != 3 && c.Copies != 5 && c.Copies != 7:
 		return Setup{}, &WrongUse{fmt.Sprintf("--copies must be 3, 5 or 7, not %d", c.Copies)}
 	case c.Servers < c.Copies || c.Servers > 100:
--- a/internal/lab/link.go
+++ b/internal/lab/link.go
@@ -26,11 +26,11 @@
 
 	mu    sync.Mutex
 	to    string
-	cut   [2]bool        // bytes of a direction wait
-	delay time.Duration  // of all that passes
-	rate  int            // bytes a second; 0: as many as come
-	pipes map[*pipe]bool // open connections
-	wake  chan struct{}  // closed at each change
+	cut   [2]bool          // bytes of a direction wait
+	delay [2]time.Duration // of what passes
+	rate  int              // bytes a second; 0: as many as come
+	pipes map[*pipe]bool   // open connections
+	wake  chan struct{}    // closed at each change
 	done  bool
 }
 
@@ -83,10 +83,19 @@
 }
 
 // Heal ends what was done to the link; what was held back is passed on late.
-func (l *Link) Heal() { l.change(func() { l.cut, l.delay, l.rate = [2]bool{}, 0, 0 }) }
+func (l *Link) Heal() { l.change(func() { l.cut, l.delay, l.rate = [2]bool{}, [2]time.Duration{}, 0 }) }
 
-// Delay makes all that passes late.
-func (l *Link) Delay(d time.Duration) { l.change(func() { l.delay = d }) }
+// Delay makes what passes late.
+func (l *Link) Delay(d time.Duration, w Way) {
+	l.change(func() {
+		if w != Back {
+			l.delay[There] = d
+		}
+		if w != There {
+			l.delay[Back] = d
+		}
+	})
+}
 
 // Throttle bounds the bytes a second of each connection's way.
 func (l *Link) Throttle(rate int) { l.change(func() { l.rate = rate }) }
@@ -202,7 +211,7 @@
 			n, err := from.Read(b)
 			if n > 0 {
 				l.mu.Lock()
-				at := time.Now().Add(l.delay)
+				at := time.Now().Add(l.delay[w])
 				l.mu.Unlock()
 				select {
 				case queue <- chunk{b[:n], at}:
--- a/internal/lab/run.go
+++ b/internal/lab/run.go
@@ -408,7 +408,7 @@
 	defer log.Close()
 	cmd := exec.Command(r.Binary)
 	cmd.Env = []string{"RELAY_CONFIG=" + filepath.Join(p.dir, "config.json"), "PUFFINSADDLE_OPERATOR=" + filepath.Join(p.dir, "operator.yaml"),
-		"TMPDIR=" + filepath.Join(r.tmp, p.name)}
+		"PUFFINSADDLE_LAB=1", "TMPDIR=" + filepath.Join(r.tmp, p.name)}
 	cmd.Stdout, cmd.Stderr = log, log
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	errs := make(chan error)
@@ -635,6 +635,18 @@
 		p.signal(syscall.SIGCONT)
 		return p.name
 	}
+	kill := func(all ...*proc) string {
+		var names []string
+		for _, p := range all {
+			r.kill(p)
+			names = append(names, p.name)
+		}
+		span()
+		for _, p := range all {
+			again(p)
+		}
+		return strings.Join(names, " and ")
+	}
 	cut := func(links map[string]*Link, w Way) {
 		for _, l := range links {
 			l.Cut(w)
@@ -657,15 +669,11 @@
 		return stall(p) + " holding " + name
 	case StallLeader:
 		return stall(r.leader(f.Pick)) + " leading"
-	case KillHolder, KillLeader:
-		p, what := r.leader(f.Pick), "leading"
-		if f.Kind == KillHolder {
-			p, what = r.holder(f.Pick)
-		}
-		r.kill(p)
-		span()
-		again(p)
-		return p.name + " " + what
+	case KillHolder:
+		p, name := r.holder(f.Pick)
+		return kill(p) + " holding " + name
+	case KillLeader:
+		return kill(r.leader(f.Pick)) + " leading"
 	case KillBoth:
 		p := r.leader(f.Pick)
 		hit := []*proc{p}
@@ -674,16 +682,7 @@
 				hit = append(hit, o)
 			}
 		}
-		var names []string
-		for _, p := range hit {
-			r.kill(p)
-			names = append(names, p.name)
-		}
-		span()
-		for _, p := range hit {
-			again(p)
-		}
-		return strings.Join(names, " and ")
+		return kill(hit...)
 	case CutHolder, CutThere, CutBack:
 		p, name := r.holder(f.Pick)
 		cut(p.links, map[string]Way{CutHolder: Both, CutThere: There, CutBack: Back}[f.Kind])
@@ -708,22 +707,24 @@
 	case MostCopies:
 		most := slices.Clone(r.procs[:r.Copies])
 		rand.New(rand.NewPCG(f.Pick, 3)).Shuffle(len(most), func(i, j int) { most[i], most[j] = most[j], most[i] })
-		most = most[:r.Copies/2+1]
-		var names []string
-		for _, p := range most {
-			r.kill(p)
-			names = append(names, p.name)
+		return kill(most[:r.Copies/2+1]...)
+	case Late:
+		p, name := r.holder(f.Pick)
+		for _, l := range p.links {
+			l.Delay(clock.Duration(100+350*f.Size), Both)
 		}
 		span()
-		for _, p := range most {
-			again(p)
-		}
-		return strings.Join(names, " ")
-	case Late:
+		heal()
+		return p.name + " holding " + name
+	case LateBack:
+		// Late answers, and then a holder that is heard no more while they still come: who counted from an answer would
+		// believe in its duty for longer than the others wait.
 		p, name := r.holder(f.Pick)
 		for _, l := range p.links {
-			l.Delay(clock.Duration(100 + 350*f.Size))
+			l.Delay(500*time.Millisecond, Back)
 		}
+		r.sleep(ctx, f.At+1.5)
+		cut(p.links, There)
 		span()
 		heal()
 		return p.name + " holding " + name
@@ -799,13 +800,7 @@
 		r.mu.Lock()
 		r.cold, r.bootAt = true, time.Now()
 		r.mu.Unlock()
-		for _, p := range r.procs {
-			r.kill(p)
-		}
-		span()
-		for _, p := range r.procs {
-			again(p)
-		}
+		kill(r.procs...)
 		return "all servers"
 	case SlowVault:
 		r.vault.slower(10)
--- a/internal/lab/schedule.go
+++ b/internal/lab/schedule.go
@@ -21,6 +21,7 @@
 	CutLeaderOut = "cut-leader-out" // its words to them alone
 	MostCopies   = "most-copies"    // all copies but a minority killed, then back
 	Late         = "late"           // the holder's words come late
+	LateBack     = "late-back"      // what it is told comes late, and then it is heard no more
 	Slow         = "slow"           // the leader's ways are throttled
 	Resets       = "resets"         // all sessions break
 	YieldDuty    = "yield"          // an operator asks
@@ -54,8 +55,9 @@
 // Scenarios can be asked for by name.
 var Scenarios = []Scenario{
 	{"all", "every kind of fault, in an order that the seed draws", []string{StallHolder, StallLeader, KillHolder, KillLeader, KillBoth, CutHolder,
-		CutThere, CutBack, CutLeader, CutLeaderOut, MostCopies, Late, Slow, Resets, YieldDuty, DrainHolder, Replace, Jump, OldFolder, NoFolder}},
-	{"holder", "the holder stalls, dies, is cut off and comes back", []string{StallHolder, KillHolder, CutHolder, CutThere, CutBack, Late}},
+		CutThere, CutBack, CutLeader, CutLeaderOut, MostCopies, Late, LateBack, Slow, Resets, YieldDuty, DrainHolder, Replace, Jump, OldFolder, NoFolder}},
+	{"holder", "the holder stalls, dies, is cut off and comes back", []string{StallHolder, KillHolder, CutHolder, CutThere, CutBack, Late, LateBack}},
+	{"late", "answers come late, then the holder is cut off", []string{LateBack}},
 	{"leader", "the copy that leads stalls, dies and is cut off", []string{StallLeader, KillLeader, KillBoth, CutLeader, CutLeaderOut, Slow}},
 	{"gaps", "one kill, yield or drain at a time, for the gaps without a holder", []string{KillHolder, YieldDuty, DrainHolder}},
 	{"handing", "yields, drains and replacements under load", []string{YieldDuty, DrainHolder, Replace, Resets}},
@@ -98,6 +100,8 @@
 		switch f.Kind {
 		case StallHolder, StallLeader, CutHolder, CutThere, CutBack, CutLeader, CutLeaderOut:
 			f.For = 1.2 + 2.6*rng.Float64() // some end before the time to live has passed, most after
+		case LateBack:
+			f.For = 5
 		case Late, Slow, Jump:
 			f.For = 2 + 2*rng.Float64()
 		case KillHolder, KillLeader, KillBoth, DrainHolder, OldFolder, NoFolder, MostCopies, ColdAll:
--- a/internal/net/session/client.go
+++ b/internal/net/session/client.go
@@ -231,7 +231,7 @@
 	if w := c.waits[m.No]; w != nil {
 		delete(c.waits, m.No)
 		w <- m
-	} else if m.Error != "" {
+	} else if m.Error != "" && m.No == 0 { // else it answers what nobody waits for any more
 		return fmt.Errorf("session: %s", m.Error)
 	}
 	return nil
--- a/internal/net/session/desk.go
+++ b/internal/net/session/desk.go
@@ -3,11 +3,14 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
+	"io"
 	"net"
 	"slices"
 	"sync"
 	"sync/atomic"
+	"syscall"
 
 	"github.com/rs/zerolog"
 
@@ -140,7 +143,9 @@
 			err = d.take(c, m)
 		}
 		if err != nil {
-			d.add(&d.count.Cut)
+			if !errors.Is(err, io.EOF) && !errors.Is(err, syscall.ECONNRESET) && !errors.Is(err, net.ErrClosed) {
+				d.add(&d.count.Cut)
+			}
 			d.log.Debug().Err(err).Msg("session ended")
 			return
 		}
--- a/internal/net/session/session_test.go
+++ b/internal/net/session/session_test.go
@@ -228,39 +228,41 @@
 func TestSessionsAreBounded(t *testing.T) {
 	lead := open(t, leads(state.New()), clock.Steady())
 	var conns []net.Conn
-	for range 16 {
+	ask := func() error { // opens a session and has one question answered
 		conn, err := net.Dial("tcp", lead.at)
 		if err != nil {
 			t.Fatal(err)
 		}
-		defer conn.Close()
+		t.Cleanup(func() { conn.Close() })
 		conn.SetDeadline(time.Now().Add(patience))
-		conn.Write([]byte{store.ForSessions})
-		conn.Write(must(frame(toCopy{Read: ReadFleet, No: 1})))
+		conn.Write(append([]byte{store.ForSessions}, must(frame(toCopy{Read: ReadFleet, No: 1}))...))
+		conns = append(conns, conn)
 		var m toServer
-		if err := newReader(conn, 0).next(&m); err != nil || m.No != 1 {
-			t.Fatalf("%+v %v", m, err)
+		if err := newReader(conn, 0).next(&m); err != nil {
+			return err
 		}
-		conns = append(conns, conn)
+		if m.No != 1 {
+			t.Fatalf("%+v", m)
+		}
+		return nil
 	}
-	over, err := net.Dial("tcp", lead.at)
-	if err != nil {
-		t.Fatal(err)
+	for range 16 {
+		if err := ask(); err != nil {
+			t.Fatal(err)
+		}
 	}
-	defer over.Close()
-	over.SetDeadline(time.Now().Add(patience))
-	over.Write([]byte{store.ForSessions})
-	if n, err := over.Read(make([]byte, 1)); n > 0 || err == nil {
+	if ask() == nil {
 		t.Error("one more than the bound is served")
 	}
-	conns[0].Close()
-	late := time.Now().Add(patience)
-	for lead.desk.Figures().Open >= 16 && time.Now().Before(late) {
-		time.Sleep(time.Millisecond)
-	}
-	if f := lead.desk.Figures(); f.Open != 15 || f.Cut == 0 {
+	if f := lead.desk.Figures(); f.Open != 16 || f.Cut != 1 {
 		t.Errorf("%+v", f)
 	}
+	conns[0].Close()
+	for late := time.Now().Add(patience); ask() != nil; {
+		if time.Now().After(late) {
+			t.Fatal("no room after one has ended")
+		}
+	}
 }
 
 func must(b []byte, err error) []byte {
--- a/policy/guard_test.go
+++ b/policy/guard_test.go
@@ -730,6 +730,17 @@
 }
 
 // A share smaller than the time for which a call given up lingers allowed no call at all.
+// A server whose share ran out had no bound on its calls: 0 stood for a share that nobody told.
+func TestShareOfNothingAllowsNoCall(t *testing.T) {
+	r := newRig(t, mixedBelow)
+	r.do(iron(1))
+	r.n.SetBelowShare(0)
+	r.want(r.do(CallNeeded{1}), "Skip 1")
+	r.n.SetBelowShare(0.3)
+	r.do(iron(2))
+	r.want(r.do(CallNeeded{2}), "Call 2")
+}
+
 func TestTinyShareAllowsCalls(t *testing.T) {
 	tiny := func(s *Settings) { sharedBelow(s); s.BelowShare = 0.05 }
 	quick := func(time.Duration) time.Duration { return 10 * ms }
--- a/policy/settings.go
+++ b/policy/settings.go
@@ -59,10 +59,11 @@
 }
 
 // SetBelowShare puts another share of the calls below into force, as BelowShare of the settings: a share that is divided
-// among servers while they run changes more often than settings do.
+// among servers while they run changes more often than settings do. A share of nothing leaves room for no call; in the
+// settings 0 means that no share is told, and calls are not bounded.
 func (n *Instance) SetBelowShare(share float64) {
 	if share >= 0 && !math.IsInf(share, 0) {
-		n.set.BelowShare = share
+		n.set.BelowShare = max(share, math.SmallestNonzeroFloat64)
 	}
 }
 
