--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -177,16 +177,13 @@
 }
 
 // settled is a ledger that hears how effects end.
-type settled struct {
-	noQuorum
-	ended chan string
-}
+type settled struct{ ended chan string }
 
 func (s settled) Begin(string) (bool, error) { return true, nil }
 func (s settled) Ended(id string, ok bool)   { s.ended <- fmt.Sprint(id, " ", ok) }
 
 func TestLedgerHearsHowEffectsEnd(t *testing.T) {
-	l := settled{ended: make(chan string, 10)}
+	l := settled{make(chan string, 10)}
 	r := newRig(t, l)
 	r.open(1, "read", "", begin)
 	r.end(<-r.hand.started, "A", 1)
