Let no draining copy wait for a raft that does not stop, and let the checker know of acts cut off

Its goroutines, written down on SIGQUIT: the main one waits in raft's waitShutdown for two of pipelineReplicate, which wait in netPipeline.AppendEntries; the decoder of that pipeline waits to hand on an answer that nobody takes any more. A link that hung had filled the pipeline. Ruled out: the hand-over of the leadership (it answers within its election time-out) and the operators' address. Change: Close waits a second for raft, then leaves its log open, since the process is to end. A process writes down an act before it sends it, and one without an answer may have counted. The laboratory has a process that does not end on SIGTERM write down its goroutines.

--- a/internal/duties/keeper.go
+++ b/internal/duties/keeper.go
@@ -177,6 +177,10 @@
 // Act does something under a duty and writes down what came of it.
 func (k *Keeper) Act(ctx context.Context, under duty.Ref, do ...state.Command) (state.Result, error) {
 	began := trace.Event{Duty: under.Name, Epoch: under.Epoch, What: trace.Act, Began: machineNow(k.Trace)}
+	began.Text = do[0].Op
+	sent := began
+	sent.What = trace.Sent // before it goes: this process may be killed with the answer on its way
+	k.Trace.Add(sent, 0)
 	r, err := k.client.Act(ctx, under, do...)
 	began.N = r.N
 	switch {
@@ -189,7 +193,6 @@
 	case err != nil:
 		return r, err // refused for what it is
 	}
-	began.Text = do[0].Op
 	k.Trace.Add(began, 0)
 	return r, err
 }
--- a/internal/lab/check.go
+++ b/internal/lab/check.go
@@ -339,10 +339,30 @@
 func (f *Found) counters(o *Outcome) {
 	ops := map[string][]porcupine.Operation{}
 	who := map[string]int{}
+	type sending struct {
+		who, duty string
+		began     float64
+	}
+	open := map[sending]trace.Event{}
+	var all []trace.Event
 	for _, e := range o.Events {
-		if e.Text != "mark" || e.What != trace.Act && e.What != trace.Unknown {
-			continue
+		k := sending{e.Who, e.Duty, e.Began}
+		switch {
+		case e.Text != "mark":
+		case e.What == trace.Sent:
+			open[k] = e
+		case e.What == trace.Act:
+			all = append(all, e)
+			delete(open, k)
+		case e.What == trace.Refused:
+			delete(open, k)
 		}
+	}
+	for _, e := range open { // no answer, or its process was killed before it was written down
+		e.What = trace.Unknown
+		all = append(all, e)
+	}
+	for _, e := range all {
 		if _, there := who[e.Who]; !there {
 			who[e.Who] = len(who)
 		}
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -157,6 +157,25 @@
 	}
 }
 
+// A process that is killed with an act under way writes down no answer: the act may have counted, and need not have.
+func TestActsCutOffByAKillMayHaveCounted(t *testing.T) {
+	act := func(what string, began, at float64, n uint64) trace.Event {
+		return trace.Event{At: at, Who: "a#1", What: what, Text: "mark", Duty: "d", Epoch: 1, Began: began, N: n}
+	}
+	first := []trace.Event{act(trace.Sent, 1, 1, 0), act(trace.Act, 1, 2, 1)}
+	lost, last := act(trace.Sent, 3, 3, 0), []trace.Event{act(trace.Sent, 5, 5, 0), act(trace.Act, 5, 6, 3)}
+	if f := Check(&Outcome{Events: append(append(first, lost), last...)}); len(f.Violations) > 0 {
+		t.Errorf("%+v", f.Violations)
+	}
+	if f := Check(&Outcome{Events: append(first, last...)}); len(f.Violations) != 1 {
+		t.Errorf("a count that nobody made: %+v", f.Violations)
+	}
+	last[1].N = 2
+	if f := Check(&Outcome{Events: append(append(first, lost), last...)}); len(f.Violations) > 0 {
+		t.Errorf("not counted: %+v", f.Violations)
+	}
+}
+
 func TestWrongUseIsNamed(t *testing.T) {
 	for want, c := range map[string]DutiesCmd{
 		"no scenario":   {Scenario: "none-such", Copies: 3, Servers: 12, For: time.Minute},
--- a/internal/lab/run.go
+++ b/internal/lab/run.go
@@ -463,8 +463,13 @@
 	case <-done:
 	case <-time.After(clock.Duration(2*stopMs) + 3*time.Second):
 		r.mu.Lock()
-		r.crash = append(r.crash, p.name+" did not end on SIGTERM")
+		r.crash = append(r.crash, p.name+" did not end on SIGTERM; its log ends with where it stands")
 		r.mu.Unlock()
+		p.signal(syscall.SIGQUIT) // it writes down its goroutines
+		select {
+		case <-done:
+		case <-time.After(2 * time.Second):
+		}
 		r.kill(p)
 	}
 }
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -27,6 +27,7 @@
 	writeFor      = 2 * time.Second
 	mostWrite     = 1 << 20 // bytes of one write
 	keepSnapshots = 2
+	closeFor      = time.Second
 	leaderFor     = 500 * time.Millisecond // a leader that is not heard for so long, up to twice that, is replaced
 	snapshotAfter = 8192                   // log entries
 )
@@ -282,13 +283,35 @@
 	json.NewEncoder(conn).Encode(a)
 }
 
-// Close stops the node. One that leads hands that on first, so that writes wait for no election.
+// ErrStuck is the error of a node whose raft did not stop in time.
+var ErrStuck = errors.New("store: raft does not stop")
+
+// within waits for an end for so long. Guards against raft's pipelined replication, which can wait for good to send to a
+// peer whose link hung with all of the pipeline in it, and its end waits for that: a process that drains must not.
+func within(d time.Duration, end func() error) error {
+	done := make(chan error, 1)
+	go func() { done <- end() }()
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case err := <-done:
+		return err
+	case <-t.C:
+		return ErrStuck
+	}
+}
+
+// Close stops the node. One that leads hands that on first, so that writes wait for no election. Where raft does not
+// stop its log stays open, since it may still write to it; the process is to end.
 func (s *Store) Close() error {
 	if s.raft.State() == raft.Leader {
 		s.raft.LeadershipTransfer().Error() // where nobody can take it, an election will tell
 	}
-	err := s.raft.Shutdown().Error()
+	err := within(closeFor, s.raft.Shutdown().Error)
 	s.trans.Close()
 	s.layer.Close()
+	if errors.Is(err, ErrStuck) {
+		return err
+	}
 	return errors.Join(err, s.bolt.Close())
 }
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -140,3 +140,14 @@
 	}
 	nodes[2].Close()
 }
+
+func TestCloseWaitsForNoStuckRaft(t *testing.T) {
+	never := make(chan struct{})
+	defer close(never)
+	if err := within(1, func() error { <-never; return nil }); !errors.Is(err, ErrStuck) {
+		t.Errorf("%v", err)
+	}
+	if err := within(patience, func() error { return ErrNoQuorum }); !errors.Is(err, ErrNoQuorum) {
+		t.Errorf("%v", err)
+	}
+}
--- a/internal/trace/trace.go
+++ b/internal/trace/trace.go
@@ -37,6 +37,7 @@
 	Gained  = "gained"  // it holds a duty until Until
 	Held    = "held"    // renewed until Until
 	Ended   = "ended"   // it holds it no more
+	Sent    = "sent"    // an act is about to be sent; what comes of it has the same Began
 	Act     = "act"     // carried out
 	Refused = "refused" // for its epoch
 	Unknown = "unknown" // sent, and not confirmed
