--- a/cmd/puffinsaddle/command.go
+++ b/cmd/puffinsaddle/command.go
@@ -35,6 +35,7 @@
 type cli struct {
 	Serve  struct{}  `cmd:"" help:"Serve as one order server, set up by RELAY_CONFIG; what the bare program does."`
 	Duty   dutyCmd   `cmd:"" help:"See and steer duties that one order server holds at a time."`
+	Store  storeCmd  `cmd:"" help:"See the copies of the replicated store, and look into a copy's folder."`
 	Config configCmd `cmd:"" help:"Check configuration."`
 	Lab    lab.Cmd   `cmd:"" help:"Start many processes of the program with faults between them, and check what they did."`
 }
--- a/cmd/puffinsaddle/duties.go
+++ b/cmd/puffinsaddle/duties.go
@@ -119,6 +119,7 @@
 	d := h.cfg.Operator.Duties
 	g := &duty.Grantor{Rules: d.Rules(), Seed: 1, Most: d.Allot.Servers, Plant: h.cfg.Operator.Lab.Plant}
 	h.desk = session.NewDesk(copy, g, d.Sessions, h.steady, h.log)
+	h.desk.Led = func(term uint64) { h.trace.Add(trace.Event{What: trace.Office, Term: term}, 0) }
 	copy.ServeSessions(h.desk.Serve)
 	go h.desk.Run(ctx)
 }
--- a/cmd/puffinsaddle/main.go
+++ b/cmd/puffinsaddle/main.go
@@ -157,10 +157,11 @@
 			defer files.Unlock()
 			return struct {
 				core.Figures
-				Applied  int      `json:"config_applied"`
-				Rejected int      `json:"config_rejected"`
-				Duties   *holding `json:"duties,omitempty"`
-			}{c.Figures(), applied, rejected, held.figures()}
+				Applied  int           `json:"config_applied"`
+				Rejected int           `json:"config_rejected"`
+				Duties   *holding      `json:"duties,omitempty"`
+				Store    *store.Status `json:"store,omitempty"`
+			}{c.Figures(), applied, rejected, held.figures(), storeStatus(state)}
 		}, More: held.calls()}, log)
 		if err != nil {
 			return err
@@ -368,8 +369,8 @@
 	for id, at := range set.Via {
 		via[set.Peers[id]] = at
 	}
-	s, err := store.Open(store.Options{ID: set.ID, Listen: set.Listen, Dir: set.Dir, Peers: set.Peers, Via: via, Log: log,
-		Watch: held.watch(), Plant: cfg.Operator.Lab.Plant})
+	s, err := store.Open(store.Options{ID: set.ID, Listen: set.Listen, Dir: set.Dir, Peers: set.Peers, Via: via, Strict: set.Strict, Log: log,
+		Events: log, Watch: held.watch(), Plant: cfg.Operator.Lab.Plant})
 	if err != nil {
 		return nil, err
 	}
@@ -389,6 +390,15 @@
 	return s, nil
 }
 
+// storeStatus is what operators see of this process's copy; nil: it keeps none.
+func storeStatus(s *store.Store) *store.Status {
+	if s == nil {
+		return nil
+	}
+	st := s.Status()
+	return &st
+}
+
 // note logs what failed beside the serving, which goes on without it.
 func note(log zerolog.Logger, err error) {
 	if err != nil {
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -37,7 +37,7 @@
 	if c.Operator.UWSGI.Listen != "" || c.Operator.Store.Listen != "" || c.Operator.Inventory.Path != "" {
 		t.Errorf("something of the operator's is on by default: %+v", c.Operator)
 	}
-	c, err = load(t, good, "uwsgi:\n  listen: 127.0.0.1:3030\n  read_ms: 500\nstore: {listen: '127.0.0.1:0', dir: /tmp/x}\n", nil)
+	c, err = load(t, good, "uwsgi:\n  listen: 127.0.0.1:3030\n  read_ms: 500\nstore: {listen: '127.0.0.1:0', dir: /tmp/x, peers: {n3: '127.0.0.1:1'}}\n", nil)
 	if err != nil || c.Operator.UWSGI.ReadMs != 500 || c.Operator.UWSGI.MaxBody != 64<<10 || c.Operator.Store.Dir != "/tmp/x" {
 		t.Errorf("read %+v, %v", c, err)
 	}
@@ -72,7 +72,10 @@
 		{"", "", "uwsgi: {listen: ':1', connections: 300}", "uwsgi.connections"},
 		{"", "", "uwsgi: {kb: -1}", "uwsgi.kb"},
 		{"", "", "store: {listen: ':1'}", "store.dir"},
+		{"", "", "store: {listen: ':1', dir: x}", "store.peers is missing"},
 		{"", "", "store: {listen: ':1', dir: x, peers: {b: y}}", "store.peers.b"},
+		{"", "", "store: {listen: ':1', dir: x, peers: {a: 'a:1', b: 'b:1'}}", "store.peers names 2 nodes"},
+		{"", "", "store: {listen: ':1', dir: x, id: b, peers: {a: 'a:1'}}", "store.peers: b, this node's own id"},
 		{"", "", "inventory: {group: g}", "inventory.path"},
 	} {
 		if _, err := load(t, strings.Replace(good, c.old, c.new, 1), c.operator, nil); err == nil || !strings.Contains(err.Error(), c.want) {
--- a/internal/config/duties.go
+++ b/internal/config/duties.go
@@ -8,6 +8,7 @@
 	"net"
 	"slices"
 
+	"puffinsaddle/internal/admit"
 	"puffinsaddle/internal/allot"
 	"puffinsaddle/internal/duty"
 )
@@ -60,6 +61,9 @@
 	EveryMs float64 `yaml:"every_ms"`
 }
 
+// Plants are the bugs that the laboratory can plant.
+var Plants = slices.Concat(duty.Plants, admit.Plants)
+
 // Lab is set by the laboratory alone.
 type Lab struct {
 	Trace string  `yaml:"trace"`      // a file for what the process believed and did
@@ -165,9 +169,18 @@
 	if st.Dir == "" {
 		return errors.New("store.dir is missing")
 	}
+	if len(st.Peers) == 0 {
+		return errors.New("store.peers is missing: a copy asks the others before it takes part")
+	}
 	if err := addresses("store.peers", st.Peers); err != nil {
 		return err
 	}
+	if n := len(st.Peers); n%2 == 0 {
+		return fmt.Errorf("store.peers names %d nodes: it takes an odd number, so that one more than half is as few as can be", n)
+	}
+	if st.ID != "" && st.Peers[st.ID] == "" {
+		return fmt.Errorf("store.peers: %s, this node's own id, is missing", st.ID)
+	}
 	if err := addresses("store.via", st.Via); err != nil {
 		return err
 	}
@@ -207,7 +220,7 @@
 	if !(l.Rate >= 0) || l.Rate > 10 {
 		return errors.New("lab.clock_rate must be from 0 to 10")
 	}
-	if l.Plant != "" && !slices.Contains(duty.Plants, l.Plant) {
+	if l.Plant != "" && !slices.Contains(Plants, l.Plant) {
 		return fmt.Errorf("lab.plant: there is no %q", l.Plant)
 	}
 	return nil
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -25,8 +25,9 @@
 	ID     string            `yaml:"id"`     // empty: the program's name
 	Listen string            `yaml:"listen"` // empty: no store
 	Dir    string            `yaml:"dir"`
-	Peers  map[string]string `yaml:"peers"` // id and address of each node, this one included
-	Via    map[string]string `yaml:"via"`   // by id: another address at which this node reaches that one
+	Peers  map[string]string `yaml:"peers"`  // id and address of each node, this one included
+	Via    map[string]string `yaml:"via"`    // by id: another address at which this node reaches that one
+	Strict bool              `yaml:"strict"` // more of the others have to be heard before this node takes part
 }
 
 // Inventory names the hosts of the site.
--- /dev/null
+++ b/internal/frame/frame.go
@@ -0,0 +1,84 @@
+// Package frame is the one form of messages between processes of this program: a length of four bytes, the highest first,
+// and so many bytes of JSON. What is malformed, too large or too slow in coming is an error, after which the connection is of
+// no use.
+package frame
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/binary"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"time"
+)
+
+// Whole is the time in which a message is read whole from its first byte, or written.
+const Whole = 2 * time.Second
+
+// Append writes a message behind what b holds; most bounds its bytes.
+func Append(b []byte, v any, most int) ([]byte, error) {
+	text, err := json.Marshal(v)
+	if err != nil {
+		return b, err
+	}
+	if len(text) > most {
+		return b, fmt.Errorf("frame: a message of %d bytes, %d at most", len(text), most)
+	}
+	return append(binary.BigEndian.AppendUint32(b, uint32(len(text))), text...), nil
+}
+
+// Reader reads messages from a connection.
+type Reader struct {
+	conn net.Conn
+	r    *bufio.Reader
+	idle time.Duration
+	most int
+}
+
+// NewReader reads messages of so many bytes at most. idle is how long the first byte of one may take; 0: any time.
+func NewReader(conn net.Conn, idle time.Duration, most int) *Reader {
+	return &Reader{conn: conn, r: bufio.NewReaderSize(conn, 16<<10), idle: idle, most: most}
+}
+
+// Next reads one message.
+func (r *Reader) Next(into any) error {
+	var until time.Time
+	if r.idle > 0 {
+		until = time.Now().Add(r.idle)
+	}
+	r.conn.SetReadDeadline(until)
+	if _, err := r.r.Peek(1); err != nil {
+		return err
+	}
+	r.conn.SetReadDeadline(time.Now().Add(Whole))
+	var head [4]byte
+	if _, err := io.ReadFull(r.r, head[:]); err != nil {
+		return err
+	}
+	n := int64(binary.BigEndian.Uint32(head[:]))
+	if n == 0 || n > int64(r.most) {
+		return fmt.Errorf("frame: a message of %d bytes, %d at most", n, r.most)
+	}
+	// Read as it comes: a length alone must take no memory.
+	var b bytes.Buffer
+	if _, err := io.CopyN(&b, r.r, n); err != nil {
+		return err
+	}
+	if err := json.Unmarshal(b.Bytes(), into); err != nil {
+		return fmt.Errorf("frame: malformed: %w", err)
+	}
+	return nil
+}
+
+// Send writes one message.
+func Send(conn net.Conn, v any, most int) error {
+	b, err := Append(nil, v, most)
+	if err != nil {
+		return err
+	}
+	conn.SetWriteDeadline(time.Now().Add(Whole))
+	_, err = conn.Write(b)
+	return err
+}
--- a/internal/lab/check.go
+++ b/internal/lab/check.go
@@ -56,12 +56,27 @@
 type Gap struct {
 	Duty     string
 	From, To float64
-	After    string // why the holding before it ended
+	After    string  // why the holding before it ended
+	Office   float64 // when another copy began to grant meanwhile; 0: none did
 }
 
 // Ms is its length.
 func (g Gap) Ms() float64 { return g.To - g.From }
 
+// SinceOffice is how long a copy that took office meanwhile took to grant the duty.
+func (g Gap) SinceOffice() float64 { return g.To - g.Office }
+
+// Over tells whether a gap is longer than the terms explain. A holder that ends without a word is waited for from when it
+// was last heard, or from when the copy that grants took office; who hands a duty on is not waited for. Next to that come
+// a renewal, and a few turns of the desk and entries of the log.
+func (g Gap) Over() bool {
+	wait := ttl * (1 + rate)
+	if g.After == duty.CauseYield || g.After == duty.CauseDrain {
+		wait = 0
+	}
+	return g.To-max(g.From, g.Office) > (wait+renew)/(1-rate)
+}
+
 // Check reads what all processes believed and did.
 func Check(o *Outcome) *Found {
 	f := &Found{Spans: map[string][]Span{}}
@@ -169,12 +184,22 @@
 				f.Handovers++
 			}
 			if s.From > before.To && before.To > o.Begun {
-				f.Gaps = append(f.Gaps, Gap{name, before.To, s.From, before.Why})
+				f.Gaps = append(f.Gaps, Gap{name, before.To, s.From, before.Why, lastOffice(o, before.To, s.From)})
 			}
 		}
 	}
 }
 
+// lastOffice is when a copy last began to grant between two times; 0: none did.
+func lastOffice(o *Outcome, from, to float64) (at float64) {
+	for _, e := range o.Events {
+		if e.What == trace.Office && e.At > from && e.At < to {
+			at = e.At
+		}
+	}
+	return at
+}
+
 // log checks that all copies carried out the same entries, and that no act of an epoch that had passed took effect.
 func (f *Found) log(o *Outcome) {
 	entries := map[uint64]trace.Event{}
--- a/internal/lab/cmd.go
+++ b/internal/lab/cmd.go
@@ -16,7 +16,7 @@
 	"strings"
 	"time"
 
-	"puffinsaddle/internal/duty"
+	"puffinsaddle/internal/config"
 )
 
 // ErrBroken tells that an invariant is broken; the output says which.
@@ -57,7 +57,8 @@
 	Handovers    int            `json:"handovers"`
 	GapP50       float64        `json:"gap_ms_p50"`
 	GapMax       float64        `json:"gap_ms_max"`
-	Gaps         map[string]Sum `json:"gaps"` // by why the holding before ended
+	Gaps         map[string]Sum `json:"gaps"` // by why the holding before ended, and whether another copy took office
+	GapsOver     int            `json:"gaps_over_terms"`
 	Faults       int            `json:"faults"`
 	Effects      int            `json:"effects"`
 	EffectsTwice int            `json:"effects_twice"`
@@ -84,7 +85,7 @@
 			fmt.Fprintf(out, "  %-8s %s\n", s.Name, s.Text)
 		}
 		fmt.Fprintln(out, "plants:")
-		for _, p := range duty.Plants {
+		for _, p := range config.Plants {
 			fmt.Fprintln(out, "  "+p)
 		}
 		return nil
@@ -157,8 +158,8 @@
 		return Setup{}, err
 	case !known:
 		return Setup{}, &WrongUse{fmt.Sprintf("no scenario %q; --list names them", c.Scenario)}
-	case c.Plant != "" && !slices.Contains(duty.Plants, c.Plant):
-		return Setup{}, &WrongUse{fmt.Sprintf("no plant %q; there are %s", c.Plant, strings.Join(duty.Plants, ", "))}
+	case c.Plant != "" && !slices.Contains(config.Plants, c.Plant):
+		return Setup{}, &WrongUse{fmt.Sprintf("no plant %q; there are %s", c.Plant, strings.Join(config.Plants, ", "))}
 	case c.Copies != 3 && c.Copies != 5 && c.Copies != 7:
 		return Setup{}, &WrongUse{fmt.Sprintf("--copies must be 3, 5 or 7, not %d", c.Copies)}
 	case c.Servers < c.Copies || c.Servers > 100:
@@ -182,7 +183,14 @@
 	var all []float64
 	for _, g := range f.Gaps {
 		all = append(all, g.Ms())
-		by[g.After] = append(by[g.After], g.Ms())
+		why := g.After
+		if g.Office > 0 {
+			why += ", and another copy took office"
+		}
+		by[why] = append(by[why], g.Ms())
+		if g.Over() {
+			r.GapsOver++
+		}
 	}
 	r.GapP50, r.GapMax = middle(all), most(all)
 	for why, ms := range by {
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -157,6 +157,34 @@
 	}
 }
 
+// A gap is as long as its cause explains: the time to live of a holder that said nothing, from when a copy took office where
+// one did meanwhile, and next to nothing after a duty was handed on.
+func TestGapsThatTheTermsDoNotExplainAreCounted(t *testing.T) {
+	o := &Outcome{Begun: 1, Events: []trace.Event{
+		{At: 10, Who: "a#1", What: trace.Gained, Duty: "d", Epoch: 1, Until: 5000},
+		{At: 1000, Who: "a", What: "killed"},
+		{At: 3000, Who: "s02", What: trace.Office, Term: 2},
+		{At: 5400, Who: "b#1", What: trace.Gained, Duty: "d", Epoch: 2, Until: 9000},
+		{At: 6000, Who: "b#1", What: trace.Ended, Duty: "d", Epoch: 2, Cause: duty.CauseYield},
+		{At: 7000, Who: "a#2", What: trace.Gained, Duty: "d", Epoch: 3, Until: 9000},
+	}}
+	f := Check(o)
+	if len(f.Gaps) != 2 || len(f.Violations) > 0 {
+		t.Fatalf("%+v", f)
+	}
+	first, second := f.Gaps[0], f.Gaps[1]
+	if first.Ms() != 4400 || first.Office != 3000 || first.SinceOffice() != 2400 || first.Over() {
+		t.Errorf("%+v: a copy took office meanwhile", first)
+	}
+	if second.Ms() != 1000 || second.Office != 0 || !second.Over() {
+		t.Errorf("%+v: handed on", second)
+	}
+	first.Office = 0
+	if !first.Over() {
+		t.Errorf("%+v: nothing explains it", first)
+	}
+}
+
 // A process that is killed with an act under way writes down no answer: the act may have counted, and need not have.
 func TestActsCutOffByAKillMayHaveCounted(t *testing.T) {
 	act := func(what string, began, at float64, n uint64) trace.Event {
@@ -201,7 +229,7 @@
 	if out, err := exec.Command("go", "build", "-o", binary, "puffinsaddle/cmd/puffinsaddle").CombinedOutput(); err != nil {
 		t.Fatalf("%v\n%s", err, out)
 	}
-	for i, name := range []string{"holder", "leader", "handing"} {
+	for i, name := range []string{"holder", "leader", "handing", "folders"} {
 		s, _ := scenario(name)
 		set := Setup{Binary: binary, Out: t.TempDir(), Seed: uint64(i + 1), Seconds: 16, Copies: 3, Servers: 5, Scenario: s, Load: 30, Slots: 12}
 		o, err := Play(context.Background(), set)
--- a/internal/lab/report.go
+++ b/internal/lab/report.go
@@ -168,7 +168,7 @@
 <h3>Who held what</h3>{{.Timeline}}
 {{.Latency}}{{.Shares}}
 <h3>Faults</h3><table><tr><th>at</th><th>for</th><th>kind</th><th>hit</th></tr>{{range .Outcome.Faults}}<tr><td>{{printf "%.1f s" .At}}</td><td>{{printf "%.1f s" .For}}</td><td>{{.Kind}}</td><td>{{.Hit}}</td></tr>{{end}}</table>
-<h3>Gaps without a holder</h3><table><tr><th>duty</th><th>ms</th><th>after</th></tr>{{range .Found.Gaps}}<tr><td>{{.Duty}}</td><td>{{printf "%.0f" .Ms}}</td><td>{{.After}}</td></tr>{{end}}</table>
+<h3>Gaps without a holder</h3><table><tr><th>duty</th><th>ms</th><th>after</th><th>ms since another copy took office</th></tr>{{range .Found.Gaps}}<tr{{if .Over}} class="bad"{{end}}><td>{{.Duty}}</td><td>{{printf "%.0f" .Ms}}</td><td>{{.After}}</td><td>{{if .Office}}{{printf "%.0f" .SinceOffice}}{{end}}</td></tr>{{end}}</table>
 {{range .Outcome.Notes}}<p>{{.}}</p>{{end}}
 {{end}}</body></html>`))
 
@@ -182,7 +182,7 @@
 		return fmt.Sprintf("%.1f ms", float64(p.Outcome.Load.hist.ValueAtQuantile(v))/1000)
 	}
 	return []Row{{"invariants broken", fmt.Sprint(r.Violations)}, {"acts", fmt.Sprint(r.Acts)}, {"acts refused for their epoch", fmt.Sprint(r.Stale)},
-		{"handovers", fmt.Sprint(r.Handovers)}, {"gap, median", fmt.Sprintf("%.0f ms", r.GapP50)}, {"gap, longest", fmt.Sprintf("%.0f ms", r.GapMax)},
+		{"handovers", fmt.Sprint(r.Handovers)}, {"gap, median", fmt.Sprintf("%.0f ms", r.GapP50)}, {"gap, longest", fmt.Sprintf("%.0f ms", r.GapMax)}, {"gaps longer than the terms explain", fmt.Sprint(r.GapsOver)},
 		{"effects run", fmt.Sprint(r.Effects)}, {"effects run twice", fmt.Sprint(r.EffectsTwice)}, {"worth served", fmt.Sprintf("%.3f", r.Worth)},
 		{"answers in time", fmt.Sprintf("%d full, %d poorer, %d refused, %d failed, %d none of %d", r.Served.Full, r.Served.Part, r.Served.Refused, r.Served.Failed, r.Served.None, r.Served.Asked)},
 		{"time to an answer", q(50) + " median, " + q(99) + " 99th in 100"},
--- a/internal/lab/run.go
+++ b/internal/lab/run.go
@@ -23,6 +23,7 @@
 	"go.yaml.in/yaml/v3"
 
 	"puffinsaddle/internal/clock"
+	"puffinsaddle/internal/store"
 	"puffinsaddle/internal/trace"
 )
 
@@ -534,6 +535,15 @@
 			Term uint64 `json:"term"`
 		} `json:"desk"`
 	} `json:"duties"`
+	Store *struct {
+		Phase string `json:"phase"`
+		Votes bool   `json:"votes"`
+	} `json:"store"`
+}
+
+// whole tells whether the process's copy takes part with its vote, where it keeps one and its build tells of it.
+func (s seen) whole() bool {
+	return s.Store == nil || s.Store.Phase == store.PhaseRuns && s.Store.Votes
 }
 
 var web = &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
@@ -572,7 +582,7 @@
 		names--
 	}
 	for {
-		held, present := map[string]bool{}, 0
+		held, present, whole := map[string]bool{}, 0, 0
 		for _, s := range r.look() {
 			for name := range s.Duties.Held {
 				held[name] = true
@@ -580,12 +590,15 @@
 			if s.Duties.Present {
 				present++
 			}
+			if s.whole() {
+				whole++
+			}
 		}
-		if len(held) == names && present == len(r.procs) {
+		if len(held) == names && present == len(r.procs) && whole == len(r.procs) {
 			return nil
 		}
 		if time.Now().After(late) {
-			return fmt.Errorf("%d of %d duties are held and %d of %d processes present", len(held), names, present, len(r.procs))
+			return fmt.Errorf("%d of %d duties are held, %d of %d processes present, %d without a copy that has no vote", len(held), names, present, len(r.procs), whole)
 		}
 		select {
 		case <-ctx.Done():
@@ -595,6 +608,8 @@
 	}
 }
 
+const nothing = "nothing" // what a process holds that was picked because nobody holds a duty
+
 func (r *run) holder(pick uint64) (*proc, string) {
 	var names []string
 	of := map[string]*proc{}
@@ -605,13 +620,36 @@
 		}
 	}
 	if len(names) == 0 {
-		return r.procs[pick%uint64(len(r.procs))], "nothing"
+		return r.procs[pick%uint64(len(r.procs))], nothing
 	}
 	slices.Sort(names)
 	name := names[pick%uint64(len(names))]
 	return of[name], name
 }
 
+// holderBut picks a holder other than one process, and a duty that it holds; nil: there is none.
+func (r *run) holderBut(not *proc, pick uint64) (*proc, string) {
+	for try := range uint64(8) {
+		if p, name := r.holder(pick + try); p != not && name != nothing {
+			return p, name
+		}
+	}
+	return nil, ""
+}
+
+// later makes answers come later and later, to 1.2 s, and tells when it was done. Each step is less than the silence after
+// which a client seeks another copy, so the session stays.
+func (r *run) later(ctx context.Context, at float64, links map[string]*Link) float64 {
+	for i := 1; i <= 5; i++ {
+		for _, l := range links {
+			l.Delay(time.Duration(i)*240*time.Millisecond, Back)
+		}
+		at += 0.35
+		r.sleep(ctx, at)
+	}
+	return at
+}
+
 func (r *run) leader(pick uint64) *proc {
 	var best *proc
 	term := uint64(0)
@@ -725,14 +763,34 @@
 		// Late answers, and then a holder that is heard no more while they still come: who counted from an answer would
 		// believe in its duty for longer than the others wait.
 		p, name := r.holder(f.Pick)
-		for _, l := range p.links {
-			l.Delay(500*time.Millisecond, Back)
-		}
-		r.sleep(ctx, f.At+1.5)
+		then := r.later(ctx, f.At, p.links)
+		r.sleep(ctx, then+0.6)
 		cut(p.links, There)
 		span()
 		heal()
 		return p.name + " holding " + name
+	case StaleLeader:
+		// Answers are on their way for so long that the holder keeps its session with a leader that stands still. That one
+		// then goes on with the holder's words before it and another leader long in office: who answered on the mere belief
+		// that it leads would renew what the other may grant anew.
+		q := r.leader(f.Pick)
+		p, name := r.holderBut(q, f.Pick)
+		if p == nil {
+			return "nobody: " + q.name + " leads and holds all"
+		}
+		then := r.later(ctx, f.At, map[string]*Link{q.name: p.links[q.name]})
+		for id, l := range p.links {
+			if id != q.name {
+				l.Cut(Both)
+			}
+		}
+		q.signal(syscall.SIGSTOP)
+		r.sleep(ctx, then+1.5) // before the holder's time is up by what it was told until now
+		p.links[q.name].Delay(0, Back)
+		q.signal(syscall.SIGCONT)
+		span()
+		heal()
+		return q.name + " leading and " + p.name + " holding " + name
 	case Slow:
 		p := r.leader(f.Pick)
 		for _, o := range r.procs {
@@ -788,18 +846,36 @@
 			}
 		}
 		return fmt.Sprintf("%s by %.0f ms", p.name, ms)
-	case OldFolder, NoFolder:
+	case OldFolder, NoFolder, Spoil, OldOfAll:
+		for _, s := range r.look() {
+			if !s.whole() { // with it a majority might be without its past, which nobody else has
+				return "nobody: a copy has not its vote back yet"
+			}
+		}
 		p := r.procs[f.Pick%uint64(r.Copies)]
-		r.kill(p)
-		err := os.RemoveAll(filepath.Join(p.dir, "store"))
-		if err == nil && f.Kind == OldFolder {
+		hit := []*proc{p}
+		if f.Kind == OldOfAll {
+			hit = r.procs[:r.Copies]
+		}
+		for _, o := range hit {
+			r.kill(o)
+		}
+		var err error
+		switch f.Kind {
+		case Spoil:
+			err = spoil(filepath.Join(p.dir, "store", "raft.db"), f.Pick)
+		case NoFolder:
+			err = os.RemoveAll(filepath.Join(p.dir, "store"))
+		default:
 			err = copyFolder(filepath.Join(p.dir, "older"), filepath.Join(p.dir, "store"))
 		}
 		if err != nil {
 			r.note("%s: %v", f.Kind, err)
 		}
 		span()
-		again(p)
+		for _, o := range hit {
+			again(o)
+		}
 		return p.name
 	case ColdAll:
 		r.mu.Lock()
@@ -872,6 +948,19 @@
 	return os.WriteFile(filepath.Join(dir, "SUMS"), []byte(sums), 0o644)
 }
 
+// spoil changes some bits of a file, where the seed says.
+func spoil(path string, pick uint64) error {
+	b, err := os.ReadFile(path)
+	if err != nil {
+		return err
+	}
+	rng := rand.New(rand.NewPCG(pick, 5))
+	for range 1 + rng.IntN(20) {
+		b[rng.IntN(len(b))] ^= 1 << rng.IntN(8)
+	}
+	return os.WriteFile(path, b, 0o600)
+}
+
 func copyFolder(from, to string) error {
 	if err := os.RemoveAll(to); err != nil {
 		return err
--- a/internal/lab/schedule.go
+++ b/internal/lab/schedule.go
@@ -22,6 +22,7 @@
 	MostCopies   = "most-copies"    // all copies but a minority killed, then back
 	Late         = "late"           // the holder's words come late
 	LateBack     = "late-back"      // what it is told comes late, and then it is heard no more
+	StaleLeader  = "stale-leader"   // a stalled leader goes on, with a holder's words unread that only it can hear
 	Slow         = "slow"           // the leader's ways are throttled
 	Resets       = "resets"         // all sessions break
 	YieldDuty    = "yield"          // an operator asks
@@ -30,6 +31,8 @@
 	Jump         = "jump"           // a wall clock is set
 	OldFolder    = "old-folder"     // a copy restarts with an older folder
 	NoFolder     = "no-folder"      // or with none
+	Spoil        = "spoil"          // or with some bits of it changed
+	OldOfAll     = "old-of-all"     // all copies restart at once, and one of them with an older folder
 	ColdAll      = "cold-all"       // all servers restart at once, and their executors are cold
 	SlowVault    = "slow-vault"
 )
@@ -55,12 +58,14 @@
 // Scenarios can be asked for by name.
 var Scenarios = []Scenario{
 	{"all", "every kind of fault, in an order that the seed draws", []string{StallHolder, StallLeader, KillHolder, KillLeader, KillBoth, CutHolder,
-		CutThere, CutBack, CutLeader, CutLeaderOut, MostCopies, Late, LateBack, Slow, Resets, YieldDuty, DrainHolder, Replace, Jump, OldFolder, NoFolder}},
+		CutThere, CutBack, CutLeader, CutLeaderOut, MostCopies, Late, LateBack, StaleLeader, Slow, Resets, YieldDuty, DrainHolder, Replace, Jump, OldFolder, NoFolder, Spoil, OldOfAll}},
 	{"holder", "the holder stalls, dies, is cut off and comes back", []string{StallHolder, KillHolder, CutHolder, CutThere, CutBack, Late, LateBack}},
 	{"late", "answers come late, then the holder is cut off", []string{LateBack}},
+	{"stale", "a leader that stood still goes on as if it led", []string{StaleLeader}},
 	{"leader", "the copy that leads stalls, dies and is cut off", []string{StallLeader, KillLeader, KillBoth, CutLeader, CutLeaderOut, Slow}},
 	{"gaps", "one kill, yield or drain at a time, for the gaps without a holder", []string{KillHolder, YieldDuty, DrainHolder}},
 	{"handing", "yields, drains and replacements under load", []string{YieldDuty, DrainHolder, Replace, Resets}},
+	{"folders", "copies restart with older, empty and spoilt folders, among kills and stalls", []string{OldFolder, NoFolder, Spoil, OldOfAll, KillLeader, MostCopies, StallLeader}},
 	{"cold", "all servers restart cold at once", []string{ColdAll}},
 	{"vault", "the vault is ten times as slow for a while", []string{SlowVault}},
 	{"none", "no fault", nil},
@@ -100,11 +105,11 @@
 		switch f.Kind {
 		case StallHolder, StallLeader, CutHolder, CutThere, CutBack, CutLeader, CutLeaderOut:
 			f.For = 1.2 + 2.6*rng.Float64() // some end before the time to live has passed, most after
-		case LateBack:
-			f.For = 5
+		case LateBack, StaleLeader:
+			f.For = 6.5
 		case Late, Slow, Jump:
 			f.For = 2 + 2*rng.Float64()
-		case KillHolder, KillLeader, KillBoth, DrainHolder, OldFolder, NoFolder, MostCopies, ColdAll:
+		case KillHolder, KillLeader, KillBoth, DrainHolder, OldFolder, NoFolder, Spoil, OldOfAll, MostCopies, ColdAll:
 			f.For = 1 + 2*rng.Float64() // until it is back
 		case SlowVault:
 			f.For = max(seconds-f.At-quiet, 1)
@@ -114,8 +119,8 @@
 		}
 		all = append(all, f)
 		at = f.At + f.For + 1.5 + rng.Float64()
-		if f.Kind == OldFolder || f.Kind == NoFolder || f.Kind == MostCopies {
-			at += 2 // the assumption of these: no other copy is lost before this one has caught up
+		if f.Kind == OldFolder || f.Kind == NoFolder || f.Kind == Spoil || f.Kind == OldOfAll {
+			at += 2 // until the copy has its vote back; a second one that forgets before that is no case of these
 		}
 	}
 	sort.SliceStable(all, func(i, j int) bool { return all[i].At < all[j].At })
--- a/internal/net/session/client.go
+++ b/internal/net/session/client.go
@@ -17,6 +17,7 @@
 	"puffinsaddle/internal/allot"
 	"puffinsaddle/internal/clock"
 	"puffinsaddle/internal/duty"
+	"puffinsaddle/internal/frame"
 	"puffinsaddle/internal/mailbox"
 	"puffinsaddle/internal/publish"
 	"puffinsaddle/internal/state"
@@ -163,7 +164,7 @@
 	defer conn.Close()
 	stop := context.AfterFunc(ctx, func() { conn.Close() })
 	defer stop()
-	conn.SetWriteDeadline(time.Now().Add(messageFor))
+	conn.SetWriteDeadline(time.Now().Add(frame.Whole))
 	if _, err := conn.Write([]byte{store.ForSessions}); err != nil {
 		return err
 	}
@@ -186,7 +187,7 @@
 	r := newReader(conn, 0)
 	for {
 		var m toServer
-		if err := r.next(&m); err != nil {
+		if err := r.Next(&m); err != nil {
 			return err
 		}
 		if err := c.hear(m); err != nil {
--- a/internal/net/session/desk.go
+++ b/internal/net/session/desk.go
@@ -39,6 +39,8 @@
 
 // Desk serves sessions at a copy. One goroutine, Run, owns the grantor; it waits for no socket and no disk.
 type Desk struct {
+	Led func(term uint64) // called when this copy begins to grant in a term; nil: nobody asks
+
 	copy  Copy
 	clk   *clock.Clock // steady
 	log   zerolog.Logger
@@ -50,15 +52,16 @@
 	count counts
 
 	// The owner's.
-	batch   []any
-	beats   map[*caller]*toCopy // to be taken
-	asks    []question
-	office  uint64 // the term in which the state is known to be whole; 0: none
-	flying  bool
-	callers map[string]*caller // by process: who said the latest beat
-	told    map[string]uint64  // the latest beat that was taken, by process
-	needs   map[string]int64
-	armed   bool
+	batch    []any
+	beats    map[*caller]*toCopy // to be taken
+	asks     []question
+	office   uint64 // the term in which the state is known to be whole; 0: none
+	flying   bool
+	believes bool               // the copy led at the last look; the planted bug goes by that alone
+	callers  map[string]*caller // by process: who said the latest beat
+	told     map[string]uint64  // the latest beat that was taken, by process
+	needs    map[string]int64
+	armed    bool
 }
 
 type counts struct {
@@ -138,7 +141,7 @@
 	r := newReader(conn, clock.Duration(silentFor*d.g.Renew))
 	for {
 		var m toCopy
-		err := r.next(&m)
+		err := r.Next(&m)
 		if err == nil {
 			err = d.take(c, m)
 		}
@@ -264,6 +267,9 @@
 				e.m.Beat.Gives = append(e.m.Beat.Gives, old.Beat.Gives...) // the later beat speaks for both
 			}
 			d.beats[e.from] = &e.m
+			if d.g.Plant == duty.PlantUnproven && d.believes {
+				d.copy.View(func(st *state.State, index uint64) { d.answer(e.from, e.m.Beat.From, e.m.Beat.No, index, st) })
+			}
 			d.add(&d.count.Beats)
 		case question:
 			d.asks = append(d.asks, e)
@@ -286,7 +292,7 @@
 	term, leads := d.copy.Office()
 	switch {
 	case !leads:
-		d.office = 0
+		d.office, d.believes = 0, false
 		d.leads.Store(0)
 		for c := range d.beats {
 			d.elsewhere(c, 0)
@@ -335,10 +341,6 @@
 // fly writes an entry of the log and comes back with what it came to. One is under way at a time: what comes meanwhile
 // shares the next.
 func (d *Desk) fly(f flown) {
-	if len(f.orders) == 0 && d.g.Plant == duty.PlantUnproven && f.beats != nil {
-		d.land(f)
-		return
-	}
 	d.flying = true
 	d.add(&d.count.Flights)
 	if len(f.orders) > 0 {
@@ -361,10 +363,13 @@
 	now := d.clk.Now()
 	if f.beats == nil && f.err == nil { // the term's first entry
 		if term, leads := d.copy.Office(); leads && term == f.term {
-			d.office = f.term
+			d.office, d.believes = f.term, true
 			d.leads.Store(f.term)
 			d.g.Lead(f.term, now)
 			clear(d.told)
+			if d.Led != nil {
+				d.Led(f.term)
+			}
 			d.log.Info().Uint64("term", f.term).Msg("grants duties")
 		}
 		return
--- a/internal/net/session/session_test.go
+++ b/internal/net/session/session_test.go
@@ -235,10 +235,10 @@
 		}
 		t.Cleanup(func() { conn.Close() })
 		conn.SetDeadline(time.Now().Add(patience))
-		conn.Write(append([]byte{store.ForSessions}, must(frame(toCopy{Read: ReadFleet, No: 1}))...))
+		conn.Write(append([]byte{store.ForSessions}, must(framed(toCopy{Read: ReadFleet, No: 1}))...))
 		conns = append(conns, conn)
 		var m toServer
-		if err := newReader(conn, 0).next(&m); err != nil {
+		if err := newReader(conn, 0).Next(&m); err != nil {
 			return err
 		}
 		if m.No != 1 {
@@ -322,7 +322,7 @@
 					for _, m := range fleet {
 						for _, a := range m.Turn(now) {
 							if s, ok := a.(duty.Send); ok {
-								came = append(came, must(frame(toCopy{Beat: &s.Beat})))
+								came = append(came, must(framed(toCopy{Beat: &s.Beat})))
 							}
 						}
 					}
@@ -351,7 +351,7 @@
 					var told [][]byte
 					for _, f := range from {
 						a := g.Answer(f.From, f.No, index, st.Duties)
-						told = append(told, must(frame(toServer{Told: &a})))
+						told = append(told, must(framed(toServer{Told: &a})))
 						out += len(told[len(told)-1])
 					}
 					ours += time.Since(begun)
--- a/internal/net/session/wire.go
+++ b/internal/net/session/wire.go
@@ -1,29 +1,22 @@
 // Package session is the way between order servers and the copies of the store: one connection a server for all of its
 // duties, its share, its acts and its effects. A Desk serves sessions at a copy, a Client holds one.
-//
-// A message is a length of four bytes, the highest first, and so many bytes of JSON.
 package session
 
 import (
-	"bufio"
-	"bytes"
-	"encoding/binary"
 	"encoding/json"
 	"errors"
-	"fmt"
-	"io"
 	"net"
 	"time"
 
 	"puffinsaddle/internal/allot"
 	"puffinsaddle/internal/duty"
+	"puffinsaddle/internal/frame"
 	"puffinsaddle/internal/state"
 )
 
 const (
-	mostMessage = 512 << 10       // bytes of one message; a published version is the largest
-	messageFor  = 2 * time.Second // a message is read whole within this from its first byte, or written
-	mostUnsent  = 256             // messages that wait for a peer that does not read; past this it is cut off
+	mostMessage = 512 << 10 // bytes of one message; a published version is the largest
+	mostUnsent  = 256       // messages that wait for a peer that does not read; past this it is cut off
 )
 
 // Errors of sessions.
@@ -87,56 +80,10 @@
 	Lead  string            `json:"lead"`
 }
 
-func frame(v any) ([]byte, error) {
-	b, err := json.Marshal(v)
-	if err != nil {
-		return nil, err
-	}
-	if len(b) > mostMessage {
-		return nil, fmt.Errorf("session: a message of %d bytes, %d at most", len(b), mostMessage)
-	}
-	return append(binary.BigEndian.AppendUint32(make([]byte, 0, len(b)+4), uint32(len(b))), b...), nil
-}
+func framed(v any) ([]byte, error) { return frame.Append(nil, v, mostMessage) }
 
-// reader reads messages. One that is malformed, too large or too slow in coming is an error, after which the
-// connection is of no use.
-type reader struct {
-	conn net.Conn
-	r    *bufio.Reader
-	idle time.Duration // for the first byte of a message; 0: any time
-}
-
-func newReader(conn net.Conn, idle time.Duration) *reader {
-	return &reader{conn: conn, r: bufio.NewReaderSize(conn, 16<<10), idle: idle}
-}
-
-func (r *reader) next(into any) error {
-	var until time.Time
-	if r.idle > 0 {
-		until = time.Now().Add(r.idle)
-	}
-	r.conn.SetReadDeadline(until)
-	if _, err := r.r.Peek(1); err != nil {
-		return err
-	}
-	r.conn.SetReadDeadline(time.Now().Add(messageFor))
-	var head [4]byte
-	if _, err := io.ReadFull(r.r, head[:]); err != nil {
-		return err
-	}
-	n := binary.BigEndian.Uint32(head[:])
-	if n == 0 || n > mostMessage {
-		return fmt.Errorf("session: a message of %d bytes, %d at most", n, mostMessage)
-	}
-	// Read as it comes: a length alone must take no memory.
-	var b bytes.Buffer
-	if _, err := io.CopyN(&b, r.r, int64(n)); err != nil {
-		return err
-	}
-	if err := json.Unmarshal(b.Bytes(), into); err != nil {
-		return fmt.Errorf("session: malformed: %w", err)
-	}
-	return nil
+func newReader(conn net.Conn, idle time.Duration) *frame.Reader {
+	return frame.NewReader(conn, idle, mostMessage)
 }
 
 // line writes messages to one peer, and never makes a sender wait.
@@ -153,7 +100,7 @@
 		for {
 			select {
 			case b := <-l.out:
-				conn.SetWriteDeadline(time.Now().Add(messageFor))
+				conn.SetWriteDeadline(time.Now().Add(frame.Whole))
 				if _, err := conn.Write(b); err != nil {
 					return
 				}
@@ -167,9 +114,9 @@
 
 // send queues a message; a peer that does not read is cut off.
 func (l *line) send(v any) {
-	b, err := frame(v)
+	b, err := framed(v)
 	if err != nil {
-		b, err = frame(toServer{Error: err.Error()})
+		b, err = framed(toServer{Error: err.Error()})
 	}
 	if err != nil {
 		l.conn.Close()
--- a/internal/store/fsm.go
+++ b/internal/store/fsm.go
@@ -44,6 +44,15 @@
 	return r
 }
 
+// clear forgets all: the folder that it came from is not used any more.
+func (m *machine) clear() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.state, m.index = state.New(), 0
+	m.state.Plant = m.plant
+	m.tell()
+}
+
 func (m *machine) tell() {
 	close(m.changed)
 	m.changed = make(chan struct{})
--- /dev/null
+++ b/internal/store/join.go
@@ -0,0 +1,451 @@
+package store
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"maps"
+	"net"
+	"slices"
+	"time"
+
+	"github.com/hashicorp/raft"
+
+	"puffinsaddle/internal/admit"
+	"puffinsaddle/internal/frame"
+	"puffinsaddle/internal/store/disk"
+)
+
+const (
+	reportEvery = 250.0           // ms between two claims to each of the others, and between two looks of the leader
+	wordFor     = 3 * time.Second // the answer to a claim may take so long: a leader proves its office first
+	claimIdle   = 5 * time.Second // a connection of claims that says nothing is ended
+	mostClaim   = 4 << 10         // bytes
+	mostClaims  = 64              // connections of claims served at once
+	mostStatus  = 64 << 10
+	changeFor   = 2 * time.Second // a change of the set has so long to be written
+)
+
+// Phases of a node.
+const (
+	PhaseSeeks   = "seeks"   // asks the others whether it may take part with its folder
+	PhaseAsks    = "asks"    // asks to be joined anew
+	PhaseRuns    = "runs"    // takes part
+	PhaseStopped = "stopped" // does not, and will not before the process is started again
+)
+
+// tell notes a phase and why; the lock is held.
+func (s *Store) tell(phase, why string) {
+	if s.phase != phase || s.why != why {
+		e := s.o.Events.Info()
+		if phase == PhaseAsks || phase == PhaseStopped {
+			e = s.o.Events.Error()
+		}
+		e.Str("copy", s.o.ID).Str("phase", phase).Str("why", why).Msg("copy of the store")
+	}
+	s.phase, s.why = phase, why
+	close(s.news)
+	s.news = make(chan struct{})
+}
+
+// seek begins to make claims and to decide by the answers.
+func (s *Store) seek() {
+	for id, at := range s.o.Peers {
+		if id != s.o.ID {
+			go s.report(id, at)
+		}
+	}
+	go s.decide()
+}
+
+// pause waits for a while of the steady clock, or for what comes first: news, or the node's end.
+func (s *Store) pause(ms float64, news <-chan struct{}) {
+	late := make(chan struct{})
+	t := s.o.Steady.After(ms, func() { close(late) })
+	defer t.Stop()
+	select {
+	case <-late:
+	case <-news:
+	case <-s.ctx.Done():
+	}
+}
+
+// report makes claims to one of the others for as long as the node lives.
+func (s *Store) report(id, at string) {
+	for s.ctx.Err() == nil {
+		if conn, err := s.layer.dial(at, forClaims, writeFor); err == nil {
+			stop := context.AfterFunc(s.ctx, func() { conn.Close() })
+			s.tellOf(conn, id)
+			stop()
+			conn.Close()
+		}
+		s.pause(reportEvery, nil)
+	}
+}
+
+func (s *Store) tellOf(conn net.Conn, id string) {
+	r := frame.NewReader(conn, wordFor, mostClaim)
+	for s.ctx.Err() == nil {
+		s.mu.Lock()
+		news := s.news
+		c := s.claim()
+		s.mu.Unlock()
+		if frame.Send(conn, c, mostClaim) != nil {
+			return
+		}
+		var w admit.Word
+		if r.Next(&w) != nil || w.From != id {
+			return
+		}
+		s.mu.Lock()
+		if s.seeker.Claim.Folder == c.Folder && s.seeker.Rejoin == c.Rejoin { // else it is a word on another claim
+			s.seeker.Take(w)
+		}
+		s.mu.Unlock()
+		s.wake()
+		s.pause(reportEvery, news)
+	}
+}
+
+func (s *Store) wake() {
+	select {
+	case s.kick <- struct{}{}:
+	default:
+	}
+}
+
+// claim is what the node says of itself now; the lock is held.
+func (s *Store) claim() admit.Claim {
+	if r := s.now.Load(); r != nil {
+		// The term first: a position that is told with an earlier term was there in it.
+		s.seeker.Term, s.seeker.Last = r.raft.CurrentTerm(), r.raft.LastIndex()
+	}
+	return s.seeker.Claim
+}
+
+// decide takes the node's part up, or ends it, by what the others say; and as the leader it looks after the others.
+func (s *Store) decide() {
+	for s.ctx.Err() == nil {
+		s.turn()
+		s.keep()
+		if r := s.now.Load(); r != nil {
+			s.given(r)
+			if _, leads := s.Office(); leads {
+				s.lead(r)
+			}
+		}
+		s.pause(reportEvery, s.kick)
+	}
+}
+
+func (s *Store) turn() {
+	s.mu.Lock()
+	phase := s.phase
+	d, why := s.seeker.Decide()
+	joined := s.seeker.JoinedAt()
+	if phase == PhaseSeeks && d == admit.Wait && s.why != why {
+		s.tell(PhaseSeeks, why)
+	}
+	s.mu.Unlock()
+	if phase == PhaseStopped {
+		return
+	}
+	runs := phase == PhaseRuns
+	var err error
+	switch {
+	case d == admit.Leave:
+		err = errors.Join(errors.New(why), s.stop(false))
+	case d == admit.Rejoin:
+		if err = s.stop(false); err == nil {
+			s.ask(why)
+		}
+	case d == admit.Renew:
+		err = s.renew(joined)
+	case d == admit.Start && !runs:
+		err = s.start(nil)
+	case d == admit.Begin && !runs:
+		s.mu.Lock()
+		s.witness.Know(s.seeker.Folders())
+		s.mu.Unlock()
+		if err = s.remember(); err == nil {
+			err = s.start(s.o.Peers)
+		}
+	}
+	if err != nil {
+		s.mu.Lock()
+		s.tell(PhaseStopped, err.Error())
+		s.mu.Unlock()
+	}
+}
+
+// ask notes that the node asks to be joined anew.
+func (s *Store) ask(why string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.seeker.Rejoin, s.seeker.Runs = why, false
+	s.seeker.Forget()
+	s.tell(PhaseAsks, why)
+}
+
+// renew sets the folder aside and begins with an empty one, without a vote.
+func (s *Store) renew(joined uint64) error {
+	s.mu.Lock()
+	f := s.folder
+	s.mu.Unlock()
+	if f != nil {
+		if err := f.Close(); err != nil {
+			return err
+		}
+	}
+	to, err := disk.SetAside(s.o.Dir)
+	if err != nil {
+		return err
+	}
+	s.machine.clear()
+	damage, err := s.open(joined)
+	if err = errors.Join(damage, err); err != nil {
+		return err
+	}
+	s.o.Events.Warn().Str("copy", s.o.ID).Str("aside", to).Uint64("joined", joined).Msg("joins anew with an empty folder")
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.tell(PhaseSeeks, "joined anew, without a vote")
+	return nil
+}
+
+// failed is told by the disk when it stops.
+func (s *Store) failed(why error) {
+	err := s.stop(false)
+	if s.ctx.Err() != nil {
+		return
+	}
+	if bad := (*disk.Damage)(nil); errors.As(why, &bad) && err == nil && len(s.o.Peers) > 1 {
+		s.ask(bad.Error())
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.tell(PhaseStopped, errors.Join(why, err).Error())
+}
+
+// given notes that the node was given its vote: it has carried out all up to where it joined without one, and still its
+// latest configuration has it as a voter, so that came later.
+func (s *Store) given(r *running) {
+	joined := r.folder.Mark().Joined
+	if r.votes.Load() || r.raft.AppliedIndex() <= joined {
+		return
+	}
+	for _, m := range r.raft.GetConfiguration().Configuration().Servers {
+		if string(m.ID) == s.o.ID && m.Suffrage == raft.Voter && r.folder.Voter() == nil {
+			r.votes.Store(true)
+			s.o.Events.Info().Str("copy", s.o.ID).Uint64("joined", joined).Msg("has caught up, and its vote")
+		}
+	}
+}
+
+// lead takes the vote from who asks to be joined anew, and gives it to who has caught up.
+func (s *Store) lead(r *running) {
+	s.mu.Lock()
+	asks := s.witness.Asks(s.o.Steady.Now())
+	s.mu.Unlock()
+	for _, m := range r.raft.GetConfiguration().Configuration().Servers {
+		id := string(m.ID)
+		switch {
+		case id == s.o.ID:
+		case m.Suffrage == raft.Voter && slices.Contains(asks, id):
+			err := r.raft.DemoteVoter(m.ID, 0, changeFor).Error()
+			s.o.Events.Warn().Str("copy", id).Err(err).Msg("loses its vote until it has caught up")
+		case m.Suffrage != raft.Voter:
+			s.mu.Lock()
+			ready := s.promote[id]
+			delete(s.promote, id)
+			s.mu.Unlock()
+			if ready {
+				err := r.raft.AddVoter(m.ID, m.Address, 0, changeFor).Error()
+				s.o.Events.Info().Str("copy", id).Err(err).Msg("has caught up and gets its vote")
+			}
+		}
+	}
+}
+
+// serveClaims hears one of the others.
+func (s *Store) serveClaims(conn net.Conn) {
+	defer conn.Close()
+	defer s.claims.Add(-1)
+	if s.claims.Add(1) > mostClaims {
+		return
+	}
+	no, id := s.conns.Add(1), ""
+	defer func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.witness.Gone(id, no)
+	}()
+	r := frame.NewReader(conn, claimIdle, mostClaim)
+	for s.ctx.Err() == nil {
+		var c admit.Claim
+		if err := r.Next(&c); err != nil {
+			return
+		}
+		if id == "" {
+			id = c.ID
+		}
+		if c.ID != id || s.o.Peers[c.ID] == "" || c.ID == s.o.ID || len(c.Folder)+len(c.Proc) > 64 {
+			return // no copy that we know
+		}
+		w, err := s.hear(no, c)
+		if err != nil || frame.Send(conn, w, mostClaim) != nil {
+			return
+		}
+	}
+}
+
+func (s *Store) hear(conn uint64, c admit.Claim) (admit.Word, error) {
+	v, m, r := s.view(c.ID)
+	_, leads := s.Office()
+	s.mu.Lock()
+	w, keep := s.witness.Hear(s.o.Steady.Now(), conn, c, v)
+	s.dirty = s.dirty || !keep
+	learns := leads && w.Verdict == admit.Good && v.Of[c.ID] != (admit.Member{}) && !m.Votes
+	if learns && c.Rejoin == "" {
+		l := s.learners[c.ID]
+		if l == nil {
+			l = &admit.Learner{}
+			s.learners[c.ID] = l
+		}
+		if l.Report(c, v.Last) {
+			s.promote[c.ID] = true
+		}
+	} else {
+		delete(s.learners, c.ID)
+		delete(s.promote, c.ID)
+	}
+	s.mu.Unlock()
+	if keep {
+		if err := s.remember(); err != nil {
+			return w, err
+		}
+	}
+	s.wake()
+	if learns && c.Rejoin != "" {
+		// Only what is agreed on counts: an entry that comes after proves that the loss of its vote was.
+		if err := r.raft.Barrier(writeFor).Error(); err == nil {
+			w.Joined = v.Last
+		}
+	}
+	return w, nil
+}
+
+// view is what this node knows of the set, and of one id in it.
+func (s *Store) view(id string) (v admit.View, m admit.Member, r *running) {
+	r = s.now.Load()
+	if r == nil {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return admit.View{Begun: s.folder == nil || !s.seeker.Fresh || s.seeker.Joined > 0, Last: s.seeker.Last, Folder: s.seeker.Folder}, m, nil
+	}
+	v.Folder = r.folder.Mark().Folder
+	v.Last = r.raft.LastIndex() // before the configuration: a vote that is given after this look has a later position
+	v.Begun, v.Of = v.Last > 0, map[string]admit.Member{}
+	for _, c := range r.raft.GetConfiguration().Configuration().Servers {
+		v.Of[string(c.ID)] = admit.Member{Addr: string(c.Address), Votes: c.Suffrage == raft.Voter}
+	}
+	return v, v.Of[id], r
+}
+
+// keep writes what is remembered of others, where it has grown.
+func (s *Store) keep() {
+	s.mu.Lock()
+	dirty := s.dirty
+	s.mu.Unlock()
+	if dirty {
+		s.remember()
+	}
+}
+
+func (s *Store) remember() error {
+	s.keeping.Lock()
+	defer s.keeping.Unlock()
+	s.mu.Lock()
+	f, marks := s.folder, maps.Clone(s.witness.Marks)
+	s.dirty = false
+	s.mu.Unlock()
+	if f == nil {
+		return nil // it has no vote, and nothing that it says counts without a folder that remembers
+	}
+	return f.Remember(marks)
+}
+
+// Status tells how a copy is.
+type Status struct {
+	ID      string     `json:"id"`
+	Addr    string     `json:"addr"`
+	Phase   string     `json:"phase"`
+	Why     string     `json:"why,omitempty"`
+	Leader  string     `json:"leader,omitempty"` // as far as this copy knows
+	Leads   bool       `json:"leads"`
+	Votes   bool       `json:"votes"`
+	Applied uint64     `json:"applied"`
+	Mark    admit.Mark `json:"mark"`
+	Members []Member   `json:"members,omitempty"`
+}
+
+// Member is what a copy knows of one of its set.
+type Member struct {
+	ID     string `json:"id"`
+	Addr   string `json:"addr"`
+	Votes  bool   `json:"votes"`
+	Alive  bool   `json:"alive"`            // it made a claim of late
+	Last   uint64 `json:"last"`             // its last entry, as it said
+	Behind uint64 `json:"behind,omitempty"` // entries that it lacks of this copy's
+}
+
+// Status looks at the node.
+func (s *Store) Status() Status {
+	v, _, r := s.view(s.o.ID)
+	term, leads := s.Office()
+	st := Status{ID: s.o.ID, Addr: s.Addr(), Leader: s.Leader(), Leads: leads}
+	if r != nil {
+		st.Votes, st.Applied = r.votes.Load(), r.raft.AppliedIndex()
+	}
+	now := s.o.Steady.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	st.Phase, st.Why, st.Mark = s.phase, s.why, s.claim().Mark
+	st.Mark.Term = max(st.Mark.Term, term)
+	for _, id := range slices.Sorted(maps.Keys(v.Of)) {
+		m := Member{ID: id, Addr: v.Of[id].Addr, Votes: v.Of[id].Votes, Alive: id == s.o.ID, Last: v.Last}
+		if id != s.o.ID {
+			var c admit.Claim
+			c, m.Alive = s.witness.Latest(id, now)
+			m.Last = c.Last
+			m.Behind = max(v.Last, c.Last) - c.Last
+		}
+		st.Members = append(st.Members, m)
+	}
+	return st
+}
+
+func (s *Store) serveStatus(conn net.Conn) {
+	defer conn.Close()
+	frame.Send(conn, s.Status(), mostStatus)
+}
+
+// Ask asks the copy at an address how it is.
+func Ask(ctx context.Context, at string) (st Status, err error) {
+	d := net.Dialer{Timeout: writeFor}
+	conn, err := d.DialContext(ctx, "tcp", at)
+	if err != nil {
+		return st, err
+	}
+	defer conn.Close()
+	stop := context.AfterFunc(ctx, func() { conn.Close() })
+	defer stop()
+	if _, err = conn.Write([]byte{forStatus}); err == nil {
+		err = frame.NewReader(conn, wordFor, mostStatus).Next(&st)
+	}
+	if err != nil {
+		return st, fmt.Errorf("store: %s does not tell how it is: %w", at, err)
+	}
+	return st, nil
+}
--- /dev/null
+++ b/internal/store/join_test.go
@@ -0,0 +1,385 @@
+package store
+
+import (
+	"bytes"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+	"maps"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/raft"
+
+	"puffinsaddle/internal/store/disk"
+)
+
+// site is a set of nodes on ports of the system's choice.
+type site struct {
+	t     *testing.T
+	peers map[string]string
+	dirs  map[string]string
+	up    map[string]*Store
+}
+
+var sites atomic.Int32
+
+func newSite(t *testing.T, ids ...string) *site {
+	s := &site{t: t, peers: map[string]string{}, dirs: map[string]string{}, up: map[string]*Store{}}
+	// An address of its own: a port that a node leaves for a moment must not be given to some other connection.
+	host := fmt.Sprintf("127.%d.%d.%d", 32+os.Getpid()%64, os.Getpid()/64%250+1, sites.Add(1))
+	var open []net.Listener
+	for _, id := range ids {
+		ln, err := net.Listen("tcp", host+":0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		open = append(open, ln)
+		s.peers[id], s.dirs[id] = ln.Addr().String(), t.TempDir()
+	}
+	for _, ln := range open {
+		ln.Close()
+	}
+	t.Cleanup(func() {
+		for _, n := range s.up {
+			n.Close()
+		}
+	})
+	return s
+}
+
+func (s *site) start(ids ...string) {
+	s.t.Helper()
+	for _, id := range ids {
+		n, err := Open(Options{ID: id, Listen: s.peers[id], Dir: s.dirs[id], Peers: maps.Clone(s.peers)})
+		if err != nil {
+			s.t.Fatal(err)
+		}
+		s.up[id] = n
+	}
+}
+
+func (s *site) stop(ids ...string) {
+	s.t.Helper()
+	for _, id := range ids {
+		if err := s.up[id].Close(); err != nil {
+			s.t.Fatal(err)
+		}
+		delete(s.up, id)
+	}
+}
+
+// is waits until a node's status is as wanted.
+func (s *site) is(id, what string, want func(Status) bool) Status {
+	s.t.Helper()
+	late := time.Now().Add(patience)
+	for {
+		st := s.up[id].Status()
+		if want(st) {
+			return st
+		}
+		if time.Now().After(late) {
+			s.t.Fatalf("%s: %+v; %s", id, st, what)
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+func votes(st Status) bool { return st.Phase == PhaseRuns && st.Votes && st.Leader != "" }
+
+// all waits until all nodes vote.
+func (s *site) all(ids ...string) {
+	s.t.Helper()
+	for _, id := range ids {
+		s.is(id, "want its vote", votes)
+	}
+}
+
+func (s *site) write(id, key string) {
+	s.t.Helper()
+	set(s.t, s.up[id], key, "v")
+}
+
+// has waits until a node has a key.
+func (s *site) has(id string, keys ...string) {
+	s.t.Helper()
+	for _, k := range keys {
+		want(s.t, s.up[id], k, "v")
+	}
+}
+
+func (s *site) copy(id, to string) {
+	s.t.Helper()
+	if err := os.CopyFS(to, os.DirFS(s.dirs[id])); err != nil {
+		s.t.Fatal(err)
+	}
+}
+
+// put puts a copy of a folder in the place of a node's own.
+func (s *site) put(id, from string) {
+	s.t.Helper()
+	if err := os.RemoveAll(s.dirs[id]); err != nil {
+		s.t.Fatal(err)
+	}
+	if err := os.CopyFS(s.dirs[id], os.DirFS(from)); err != nil {
+		s.t.Fatal(err)
+	}
+}
+
+func (s *site) aside(id string) []string {
+	got, _ := filepath.Glob(filepath.Join(s.dirs[id], "aside-*"))
+	return got
+}
+
+func TestNewSetBeginsOnceAllAreThere(t *testing.T) {
+	s := newSite(t, "a", "b", "c")
+	s.start("a", "b")
+	s.is("a", "want it to wait for c", func(st Status) bool { return strings.Contains(st.Why, "1 of 2") && st.Phase == PhaseSeeks })
+	if err := s.up["a"].Set("k", nil); !errors.Is(err, ErrNoQuorum) {
+		t.Errorf("a write before there is a set: %v", err)
+	}
+	s.start("c")
+	s.all("a", "b", "c")
+	s.write("a", "k")
+	for _, id := range []string{"a", "b", "c"} {
+		s.has(id, "k")
+		if st := s.up[id].Status(); st.Mark.Joined != 0 || len(s.aside(id)) > 0 {
+			t.Errorf("%s joined anew: %+v", id, st)
+		}
+	}
+	st, err := Ask(t.Context(), s.peers["b"])
+	if err != nil || st.ID != "b" || len(st.Members) != 3 || !st.Members[0].Alive {
+		t.Errorf("%+v %v", st, err)
+	}
+	s.stop("b")
+	s.start("b") // a plain restart
+	s.all("b")
+	if got := s.aside("b"); len(got) > 0 {
+		t.Errorf("set aside after a plain restart: %q", got)
+	}
+}
+
+// A folder that forgot something, whatever it is, has no vote until its copy has all of it again; what it held is kept.
+func TestCopyWithoutItsPastJoinsAnew(t *testing.T) {
+	for name, spoil := range map[string]func(t *testing.T, s *site, old string){
+		"older":   func(_ *testing.T, s *site, old string) { s.put("c", old) },
+		"emptied": func(_ *testing.T, s *site, _ string) { s.put("c", t.TempDir()) },
+		"another's": func(_ *testing.T, s *site, _ string) {
+			s.stop("b")
+			s.put("c", s.dirs["b"])
+			s.start("b")
+		},
+		"spoilt": func(t *testing.T, s *site, _ string) {
+			path := filepath.Join(s.dirs["c"], disk.File)
+			b, err := os.ReadFile(path)
+			if err != nil {
+				t.Fatal(err)
+			}
+			// An entry's text, and what is left of it in pages that are not in use any more.
+			b = bytes.ReplaceAll(b, []byte("after-3"), []byte("after-7"))
+			if err := os.WriteFile(path, b, 0o600); err != nil {
+				t.Fatal(err)
+			}
+		},
+		"cut short": func(t *testing.T, s *site, _ string) {
+			if err := os.Truncate(filepath.Join(s.dirs["c"], disk.File), 9000); err != nil {
+				t.Fatal(err)
+			}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := newSite(t, "a", "b", "c")
+			s.start("a", "b", "c")
+			s.all("a", "b", "c")
+			s.write("a", "before")
+			s.has("c", "before")
+			old := filepath.Join(t.TempDir(), "old")
+			s.stop("c")
+			s.copy("c", old)
+			s.start("c")
+			s.all("c")
+			var keys []string
+			for i := range 5 {
+				keys = append(keys, fmt.Sprint("after-", i))
+				s.write("a", keys[i])
+			}
+			s.has("c", keys...)
+			s.stop("c")
+			spoil(t, s, old)
+			s.start("c")
+			st := s.is("c", "want it back with its vote", func(st Status) bool { return votes(st) && st.Mark.Joined > 0 })
+			if st.Mark.Life != 1 || len(s.aside("c")) == 0 {
+				t.Errorf("%+v, set aside %q", st, s.aside("c"))
+			}
+			s.has("c", append(keys, "before")...)
+			s.stop("a") // c is needed for a majority now, and has its vote
+			s.write("c", "with c")
+			s.has("b", "with c")
+			s.stop("c")
+			s.start("c") // a plain restart of a copy that once joined anew
+			s.all("c")
+			s.write("c", "again")
+		})
+	}
+}
+
+// All restart at once, one of them with an older folder: what was agreed on without it is not undone.
+func TestAllRestartAtOnceOneWithAnOlderFolder(t *testing.T) {
+	s := newSite(t, "a", "b", "c")
+	s.start("a", "b", "c")
+	s.all("a", "b", "c")
+	s.stop("c")
+	old := filepath.Join(t.TempDir(), "old")
+	s.copy("c", old)
+	s.start("c")
+	s.all("c")
+	s.write("a", "k")
+	s.has("c", "k")
+	s.stop("a", "b", "c")
+	s.put("c", old)
+	s.start("c", "a") // b stays away: a and c are a majority, and c lacks what it had
+	s.is("c", "want it to ask", func(st Status) bool { return st.Phase == PhaseAsks && strings.Contains(st.Why, "a: the folder of c") })
+	if st := s.up["c"].Status(); st.Votes {
+		t.Errorf("%+v", st)
+	}
+	s.start("b")
+	s.is("c", "want it back", func(st Status) bool { return votes(st) && st.Mark.Joined > 0 })
+	s.has("c", "k")
+}
+
+// A disk that fails stops its copy and no more; what was acknowledged is with the others.
+func TestFullDiskStopsItsCopyAlone(t *testing.T) {
+	s := newSite(t, "a", "b", "c")
+	s.start("a", "b", "c")
+	s.all("a", "b", "c")
+	s.write("a", "k")
+	leader := s.up["a"].Status().Leader
+	s.up[leader].failed(errors.New("no space left on device"))
+	st := s.is(leader, "want it stopped", func(st Status) bool { return st.Phase == PhaseStopped })
+	if !strings.Contains(st.Why, "no space left") {
+		t.Errorf("%+v", st)
+	}
+	for id := range s.peers {
+		if id != leader {
+			s.write(id, "after "+id)
+			s.has(id, "k")
+		}
+	}
+	if err := s.up[leader].Set("x", nil); !errors.Is(err, ErrNoQuorum) {
+		t.Errorf("a write at the copy that stopped: %v", err)
+	}
+}
+
+// A second process under an id that is alive waits, whatever folder it has, and gets neither vote nor folder.
+func TestSecondProcessOfAnIDWaits(t *testing.T) {
+	s := newSite(t, "a", "b", "c")
+	s.start("a", "b", "c")
+	s.all("a", "b", "c")
+	s.write("a", "k")
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	peers := maps.Clone(s.peers)
+	peers["c"] = ln.Addr().String()
+	twin, err := Open(Options{ID: "c", Listener: ln, Dir: t.TempDir(), Peers: peers})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer twin.Close()
+	s.up["twin"] = twin
+	s.is("twin", "want it to be told", func(st Status) bool { return strings.Contains(st.Why, "of c is alive") && st.Phase == PhaseSeeks })
+	delete(s.up, "twin")
+	s.stop("c")
+	s.up["twin"] = twin
+	s.is("twin", "want it to be told of the other address", func(st Status) bool { return strings.Contains(st.Why, "c is at") })
+	delete(s.up, "twin")
+	s.start("c")
+	s.all("c")
+}
+
+// A copy without a vote gives none and asks for none.
+func TestGateKeepsTheVoteBack(t *testing.T) {
+	node := func(vote bool) (*gate, *lane) {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		l := newLayer(ln, nil, nil)
+		n := l.open()
+		go l.run()
+		g := newGate(raft.NewNetworkTransport(n, 1, patience, io.Discard), func() bool { return vote })
+		t.Cleanup(func() { g.Close(); l.Close() })
+		return g, n
+	}
+	voter, _ := node(true)
+	learner, lane := node(false)
+	at := raft.ServerAddress(lane.Addr().String())
+	if err := voter.RequestVote("l", at, &raft.RequestVoteRequest{Term: 1}, &raft.RequestVoteResponse{}); err == nil || !strings.Contains(err.Error(), errNoVote.Error()) {
+		t.Errorf("a vote was asked for: %v", err)
+	}
+	if err := voter.RequestPreVote("l", at, &raft.RequestPreVoteRequest{Term: 1}, &raft.RequestPreVoteResponse{}); err == nil || !strings.Contains(err.Error(), errNoVote.Error()) {
+		t.Errorf("it was asked whether there would be one: %v", err)
+	}
+	if err := learner.RequestVote("v", at, &raft.RequestVoteRequest{Term: 1}, &raft.RequestVoteResponse{}); !errors.Is(err, errNoVote) {
+		t.Errorf("it asks for a vote: %v", err)
+	}
+	go func() {
+		rpc := <-learner.Consumer()
+		rpc.Respond(&raft.AppendEntriesResponse{Success: true, LastLog: 7}, nil)
+	}()
+	var got raft.AppendEntriesResponse
+	if err := voter.AppendEntries("l", at, &raft.AppendEntriesRequest{Term: 1}, &got); err != nil || got.LastLog != 7 {
+		t.Errorf("entries do not get through: %+v %v", got, err)
+	}
+}
+
+// What no copy of ours would say ends its own connection and is not remembered.
+func TestMalformedClaimsAreNotHeard(t *testing.T) {
+	s := newSite(t, "a", "b", "c")
+	s.start("a", "b", "c")
+	s.all("a", "b", "c")
+	message := func(text string) []byte {
+		return append(binary.BigEndian.AppendUint32(nil, uint32(len(text))), text...)
+	}
+	for name, b := range map[string][]byte{
+		"no JSON":               message("{"),
+		"a huge length":         {0xff, 0xff, 0xff, 0xff},
+		"nobody's":              message("{}"),
+		"an unknown id's":       message(`{"id":"z","folder":"f","life":1}`),
+		"its own":               message(`{"id":"a","folder":"f","life":1}`),
+		"a name without end":    message(`{"id":"b","folder":"` + strings.Repeat("f", 100) + `"}`),
+		"an end in the middle":  message(`{"id":"b"}`)[:7],
+		"an unknown purpose":    nil,
+		"two ids in one breath": append(message(`{"id":"b","addr":"x","folder":"f","proc":"p"}`), message(`{"id":"c","addr":"x","folder":"f","proc":"p"}`)...),
+	} {
+		conn, err := net.Dial("tcp", s.peers["a"])
+		if err != nil {
+			t.Fatal(err)
+		}
+		conn.SetDeadline(time.Now().Add(patience))
+		purpose := byte(forClaims)
+		if b == nil {
+			purpose = 'z'
+		}
+		conn.Write(append([]byte{purpose}, b...))
+		conn.(*net.TCPConn).CloseWrite()
+		if _, err := io.ReadAll(conn); errors.Is(err, os.ErrDeadlineExceeded) {
+			t.Errorf("%s: the connection stands", name)
+		}
+		conn.Close()
+	}
+	n := s.up["a"]
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if len(n.witness.Marks) != 2 || n.witness.Marks["b"].Folder == "f" || n.witness.Marks["c"].Folder == "f" {
+		t.Errorf("%+v", n.witness.Marks)
+	}
+}
--- a/internal/store/layer.go
+++ b/internal/store/layer.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/raft"
@@ -12,6 +13,8 @@
 const (
 	forRaft   = 'R'
 	forWrites = 'W' // writes sent on to the leader
+	forClaims = 'A' // what a copy says of its folder, before it takes part and while it does
+	forStatus = 'I' // one answer that tells how the copy is
 
 	// ForSessions opens a session of an order server, which need not keep a copy.
 	ForSessions = 'S'
@@ -19,22 +22,59 @@
 
 const helloFor = 2 * time.Second
 
-// layer carries raft's connections and writes for the leader over one listening socket, so that a node has
-// one address.
+// layer carries raft's connections and all others over one listening socket, so that a node has one address.
 type layer struct {
 	net.Listener
-	raft   chan net.Conn
-	writes func(net.Conn)
-	via    map[string]string // where this node reaches an address, if elsewhere
-	done   chan struct{}
-	once   sync.Once
+	serve map[byte]func(net.Conn) // by purpose; each closes its connection
+	via   map[string]string       // where this node reaches an address, if elsewhere
+	done  chan struct{}
+	once  sync.Once
+	lane  atomic.Pointer[lane] // raft's; nil: none runs
 
 	mu       sync.Mutex
 	sessions func(net.Conn) // nil: none are served
 }
 
-func newLayer(ln net.Listener, writes func(net.Conn), via map[string]string) *layer {
-	return &layer{Listener: ln, raft: make(chan net.Conn), writes: writes, via: via, done: make(chan struct{})}
+func newLayer(ln net.Listener, serve map[byte]func(net.Conn), via map[string]string) *layer {
+	return &layer{Listener: ln, serve: serve, via: via, done: make(chan struct{})}
+}
+
+// lane is what one raft after the other has of the socket.
+type lane struct {
+	*layer
+	conns chan net.Conn
+	over  chan struct{}
+	end   sync.Once
+}
+
+// open makes the lane of a raft that is about to run.
+func (l *layer) open() *lane {
+	n := &lane{layer: l, conns: make(chan net.Conn), over: make(chan struct{})}
+	l.lane.Store(n)
+	return n
+}
+
+// Accept hands raft its connections.
+func (n *lane) Accept() (net.Conn, error) {
+	select {
+	case c := <-n.conns:
+		return c, nil
+	case <-n.over:
+	case <-n.done:
+	}
+	return nil, net.ErrClosed
+}
+
+// Close ends the lane; the socket stays.
+func (n *lane) Close() error {
+	n.end.Do(func() { close(n.over) })
+	n.layer.lane.CompareAndSwap(n, nil)
+	return nil
+}
+
+// Dial opens one of raft's connections.
+func (n *lane) Dial(at raft.ServerAddress, timeout time.Duration) (net.Conn, error) {
+	return n.dial(string(at), forRaft, timeout)
 }
 
 func (l *layer) session() func(net.Conn) {
@@ -62,45 +102,34 @@
 		return
 	}
 	conn.SetReadDeadline(time.Time{})
-	switch b[0] {
-	case forRaft:
-		select {
-		case l.raft <- conn:
-			return
-		case <-l.done:
+	switch serve := l.serve[b[0]]; {
+	case b[0] == forRaft:
+		if n := l.lane.Load(); n != nil {
+			select {
+			case n.conns <- conn:
+				return
+			case <-n.over:
+			case <-l.done:
+			}
 		}
-	case forWrites:
-		l.writes(conn)
-	case ForSessions:
+	case b[0] == ForSessions:
 		if serve := l.session(); serve != nil {
-			serve(conn) // closes it
+			serve(conn)
 			return
 		}
+	case serve != nil:
+		serve(conn)
+		return
 	}
 	conn.Close()
 }
 
-// Accept hands raft its connections.
-func (l *layer) Accept() (net.Conn, error) {
-	select {
-	case c := <-l.raft:
-		return c, nil
-	case <-l.done:
-		return nil, net.ErrClosed
-	}
-}
-
 // Close ends the listening.
 func (l *layer) Close() error {
 	l.once.Do(func() { close(l.done) })
 	return l.Listener.Close()
 }
 
-// Dial opens one of raft's connections.
-func (l *layer) Dial(at raft.ServerAddress, timeout time.Duration) (net.Conn, error) {
-	return l.dial(string(at), forRaft, timeout)
-}
-
 func (l *layer) dial(at string, purpose byte, timeout time.Duration) (net.Conn, error) {
 	if via := l.via[at]; via != "" {
 		at = via
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -10,14 +10,17 @@
 	"fmt"
 	"io"
 	"net"
-	"os"
-	"path/filepath"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/raft"
-	boltdb "github.com/hashicorp/raft-boltdb/v2"
+	"github.com/rs/zerolog"
 
+	"puffinsaddle/internal/admit"
+	"puffinsaddle/internal/clock"
 	"puffinsaddle/internal/state"
+	"puffinsaddle/internal/store/disk"
 )
 
 // ErrNoQuorum is the error of a write that no majority took. It may still be carried out later.
@@ -26,7 +29,6 @@
 const (
 	writeFor      = 2 * time.Second
 	mostWrite     = 1 << 20 // bytes of one write
-	keepSnapshots = 2
 	closeFor      = time.Second
 	leaderFor     = 500 * time.Millisecond // a leader that is not heard for so long, up to twice that, is replaced
 	snapshotAfter = 8192                   // log entries
@@ -34,12 +36,16 @@
 
 // Options set up one node.
 type Options struct {
-	ID     string
-	Listen string
-	Dir    string
-	Peers  map[string]string // id and address of each node, this one included; used at the very first start
-	Via    map[string]string // addresses of peers that this node reaches elsewhere, and where
-	Log    io.Writer
+	ID       string
+	Listen   string
+	Listener net.Listener // in place of Listen; nil: none
+	Dir      string
+	Peers    map[string]string // id and address of each node, this one included; none: Start has to tell them, and nobody is asked
+	Via      map[string]string // addresses of peers that this node reaches elsewhere, and where
+	Strict   bool              // more of the others have to be heard before this node takes part: admit.Seeker
+	Log      io.Writer         // raft's
+	Events   zerolog.Logger
+	Steady   *clock.Clock // nil: the system's
 
 	Watch func(index, term uint64, c state.Command, r state.Result) // called for each entry that is applied, in order; must not wait
 	Plant string                                                    // a planted bug, for the laboratory; "": none
@@ -47,64 +53,184 @@
 
 // Store is one node.
 type Store struct {
-	raft    *raft.Raft
+	o       Options
+	proc    string // drawn at the start of the process
 	machine *machine
-	bolt    *boltdb.BoltStore
 	layer   *layer
-	trans   *raft.NetworkTransport
+	ctx     context.Context
+	cancel  context.CancelFunc
+	keeping sync.Mutex // what is remembered of others goes to the disk one writing at a time
+
+	now    atomic.Pointer[running] // nil: this node takes no part
+	kick   chan struct{}           // something changed that a decision may rest on
+	conns  atomic.Uint64
+	claims atomic.Int64 // connections of claims that are served
+
+	mu       sync.Mutex
+	folder   *disk.Folder // nil: what stands there is damaged
+	seeker   admit.Seeker
+	witness  *admit.Witness
+	learners map[string]*admit.Learner
+	promote  map[string]bool // learners that have caught up
+	phase    string
+	why      string
+	dirty    bool          // what is remembered of others is newer than what the folder has
+	news     chan struct{} // closed at each change of the claim, or of whether the node takes part
 }
 
-// Open starts a node from what its folder holds. Start begins a new cluster.
+// running is the part of a node that takes part.
+type running struct {
+	raft   *raft.Raft
+	trans  *raft.NetworkTransport
+	gate   *gate
+	folder *disk.Folder
+	votes  atomic.Bool
+}
+
+// Open starts a node from what its folder holds. It takes part once the others say nothing against its folder; Start begins a
+// new set where no peers are named.
 func Open(o Options) (*Store, error) {
 	if o.Log == nil {
 		o.Log = io.Discard
 	}
-	if err := os.MkdirAll(o.Dir, 0o755); err != nil {
-		return nil, fmt.Errorf("store: %w", err)
+	if o.Steady == nil {
+		o.Steady = clock.Steady()
+	}
+	if len(o.Peers) > 0 && o.Peers[o.ID] == "" {
+		return nil, fmt.Errorf("store: %s is not among its own peers", o.ID)
 	}
-	ln, err := net.Listen("tcp", o.Listen)
+	proc, err := disk.Draw()
 	if err != nil {
 		return nil, fmt.Errorf("store: %w", err)
 	}
-	s := &Store{machine: newMachine()}
+	ln := o.Listener
+	if ln == nil {
+		if ln, err = net.Listen("tcp", o.Listen); err != nil {
+			return nil, fmt.Errorf("store: %w", err)
+		}
+	}
+	s := &Store{o: o, proc: proc, machine: newMachine(), kick: make(chan struct{}, 1), learners: map[string]*admit.Learner{},
+		promote: map[string]bool{}, phase: PhaseSeeks, news: make(chan struct{})}
+	s.ctx, s.cancel = context.WithCancel(context.Background())
 	s.machine.watch, s.machine.plant, s.machine.state.Plant = o.Watch, o.Plant, o.Plant
-	s.layer = newLayer(ln, s.serveWrite, o.Via)
-	s.trans = raft.NewNetworkTransport(s.layer, 3, writeFor, o.Log)
-	if s.bolt, err = boltdb.NewBoltStore(filepath.Join(o.Dir, "raft.db")); err != nil {
-		ln.Close()
-		return nil, fmt.Errorf("store: %w", err)
+	s.layer = newLayer(ln, map[byte]func(net.Conn){forWrites: s.serveWrite, forClaims: s.serveClaims, forStatus: s.serveStatus}, o.Via)
+	damage, err := s.open(0)
+	if err == nil && damage != nil && len(o.Peers) < 2 {
+		err = damage // nobody to build it anew from
 	}
-	snapshots, err := raft.NewFileSnapshotStore(o.Dir, keepSnapshots, o.Log)
-	if err == nil {
-		conf := raft.DefaultConfig()
-		conf.LocalID, conf.LogOutput, conf.SnapshotThreshold = raft.ServerID(o.ID), o.Log, snapshotAfter
-		conf.LogLevel = "WARN"
-		// A leader's end must be found, and another one chosen, before those who hold duties have to give them up.
-		conf.HeartbeatTimeout, conf.ElectionTimeout, conf.LeaderLeaseTimeout = leaderFor, leaderFor, leaderFor/2
-		s.raft, err = raft.NewRaft(conf, s.machine, s.bolt, s.bolt, snapshots, s.trans)
+	if err == nil && len(o.Peers) < 2 {
+		err = s.start(o.Peers)
 	}
 	if err != nil {
+		s.cancel()
+		s.stop(false)
 		ln.Close()
-		s.bolt.Close()
+		if s.folder != nil {
+			s.folder.Close()
+		}
 		return nil, fmt.Errorf("store: %w", err)
 	}
 	go s.layer.run()
-	if len(o.Peers) > 0 {
-		if err := s.Start(o.Peers); err != nil {
-			s.Close()
+	if len(o.Peers) > 1 {
+		s.seek()
+	}
+	return s, nil
+}
+
+// open opens the folder. A folder that is damaged is no error: the node asks to be joined anew.
+func (s *Store) open(joined uint64) (damage error, err error) {
+	f, err := disk.OpenFolder(s.o.Dir, s.proc, s.o.Log, disk.Options{Fail: s.failed})
+	if bad := (*disk.Damage)(nil); errors.As(err, &bad) {
+		damage, err = bad, nil
+	}
+	if err != nil {
+		return nil, err
+	}
+	var marks map[string]admit.Mark
+	if f != nil {
+		if joined > 0 {
+			err = f.Join(joined)
+		}
+		if err == nil {
+			marks, err = f.Marks()
+		}
+		if err != nil {
+			f.Close()
 			return nil, err
 		}
 	}
-	return s, nil
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.folder = f
+	if s.witness == nil || len(marks) > 0 {
+		s.witness = admit.NewWitness(s.o.ID, marks)
+	} else {
+		s.dirty = true // what was remembered goes into the new folder
+	}
+	s.seeker = admit.Seeker{Strict: s.o.Strict, Plant: s.o.Plant}
+	s.seeker.ID, s.seeker.Addr = s.o.ID, s.o.Peers[s.o.ID]
+	for id := range s.o.Peers {
+		if id != s.o.ID {
+			s.seeker.Others = append(s.seeker.Others, id)
+		}
+	}
+	if f != nil {
+		s.seeker.Mark, s.seeker.Fresh = f.Mark(), f.Fresh()
+	} else {
+		s.seeker.Proc, s.seeker.Rejoin = s.proc, damage.Error()
+		s.tell(PhaseAsks, damage.Error())
+	}
+	return damage, nil
 }
 
-// Start begins a new cluster of these nodes; on a node that has a past it does nothing.
+// start lets the node take part, in a new set of these peers where its folder is fresh and any are named.
+func (s *Store) start(peers map[string]string) error {
+	s.mu.Lock()
+	f := s.folder
+	s.mu.Unlock()
+	r := &running{folder: f}
+	r.votes.Store(f.Votes())
+	lane := s.layer.open()
+	r.trans = raft.NewNetworkTransport(lane, 3, writeFor, s.o.Log)
+	r.gate = newGate(r.trans, r.votes.Load)
+	conf := raft.DefaultConfig()
+	conf.LocalID, conf.LogOutput, conf.SnapshotThreshold = raft.ServerID(s.o.ID), s.o.Log, snapshotAfter
+	conf.LogLevel = "WARN"
+	// A leader's end must be found, and another one chosen, before those who hold duties have to give them up.
+	conf.HeartbeatTimeout, conf.ElectionTimeout, conf.LeaderLeaseTimeout = leaderFor, leaderFor, leaderFor/2
+	fresh := f.Fresh() && f.Mark().Joined == 0
+	var err error
+	if r.raft, err = raft.NewRaft(conf, s.machine, f, f, f.Snap, r.gate); err != nil {
+		r.gate.Close()
+		lane.Close()
+		return err
+	}
+	f.Run()
+	s.now.Store(r)
+	if fresh && len(peers) > 0 {
+		if err := s.Start(peers); err != nil {
+			return err
+		}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.seeker.Fresh, s.seeker.Runs = false, true
+	s.seeker.Forget()
+	s.tell(PhaseRuns, "")
+	return nil
+}
+
+// Start begins a new set of these nodes; on a node that has a past it does nothing.
 func (s *Store) Start(peers map[string]string) error {
+	r := s.now.Load()
+	if r == nil {
+		return ErrNoQuorum
+	}
 	var c raft.Configuration
 	for id, at := range peers {
 		c.Servers = append(c.Servers, raft.Server{ID: raft.ServerID(id), Address: raft.ServerAddress(at)})
 	}
-	if err := s.raft.BootstrapCluster(c).Error(); err != nil && !errors.Is(err, raft.ErrCantBootstrap) {
+	if err := r.raft.BootstrapCluster(c).Error(); err != nil && !errors.Is(err, raft.ErrCantBootstrap) {
 		return fmt.Errorf("store: %w", err)
 	}
 	return nil
@@ -113,14 +239,30 @@
 // Addr is where the node listens.
 func (s *Store) Addr() string { return s.layer.Addr().String() }
 
-// Ready waits until the node knows a leader.
+// Ready waits until the node takes part and knows a leader.
 func (s *Store) Ready(ctx context.Context) error {
+	for {
+		s.mu.Lock()
+		news := s.news
+		s.mu.Unlock()
+		if r := s.now.Load(); r != nil {
+			return r.ready(ctx)
+		}
+		select {
+		case <-news:
+		case <-ctx.Done():
+			return ErrNoQuorum
+		}
+	}
+}
+
+func (r *running) ready(ctx context.Context) error {
 	seen := make(chan raft.Observation, 8)
 	o := raft.NewObserver(seen, false, func(o *raft.Observation) bool { _, ok := o.Data.(raft.LeaderObservation); return ok })
-	s.raft.RegisterObserver(o)
-	defer s.raft.DeregisterObserver(o)
+	r.raft.RegisterObserver(o)
+	defer r.raft.DeregisterObserver(o)
 	for {
-		if at, _ := s.raft.LeaderWithID(); at != "" {
+		if at, _ := r.raft.LeaderWithID(); at != "" {
 			return nil
 		}
 		select {
@@ -164,7 +306,13 @@
 }
 
 // Snapshot writes the state to the node's folder now.
-func (s *Store) Snapshot() error { return s.raft.Snapshot().Error() }
+func (s *Store) Snapshot() error {
+	r := s.now.Load()
+	if r == nil {
+		return ErrNoQuorum
+	}
+	return r.raft.Snapshot().Error()
+}
 
 // answer is the leader's word on a write.
 type answer struct {
@@ -178,7 +326,7 @@
 func (s *Store) write(c state.Command) (bool, error) {
 	var r state.Result
 	var err error
-	if s.raft.State() == raft.Leader {
+	if _, leads := s.Office(); leads {
 		r, err = s.apply(c)
 	} else {
 		r, err = s.forward(c)
@@ -190,7 +338,11 @@
 }
 
 func (s *Store) forward(c state.Command) (r state.Result, err error) {
-	at, _ := s.raft.LeaderWithID()
+	now := s.now.Load()
+	if now == nil {
+		return r, ErrNoQuorum
+	}
+	at, _ := now.raft.LeaderWithID()
 	if at == "" {
 		return r, ErrNoQuorum
 	}
@@ -220,7 +372,11 @@
 	if err != nil {
 		return func() (state.Result, error) { return state.Result{}, err }
 	}
-	f := s.raft.Apply(b, writeFor)
+	r := s.now.Load()
+	if r == nil {
+		return func() (state.Result, error) { return state.Result{}, ErrNoQuorum }
+	}
+	f := r.raft.Apply(b, writeFor)
 	return func() (state.Result, error) {
 		if err := f.Error(); err != nil {
 			return state.Result{}, fmt.Errorf("%w: %v", ErrNoQuorum, err)
@@ -235,27 +391,41 @@
 // counts answers to heartbeats that were sent before the call, and a node that stood still for a while, then reads one,
 // would take itself for the leader that it was.
 func (s *Store) Prove() func() error {
-	f := s.raft.Barrier(writeFor)
-	return f.Error
+	r := s.now.Load()
+	if r == nil {
+		return func() error { return ErrNoQuorum }
+	}
+	return r.raft.Barrier(writeFor).Error
 }
 
 // Office tells whether this node believes that it leads, and in which term.
 func (s *Store) Office() (term uint64, leads bool) {
-	term = s.raft.CurrentTerm()
-	leads = s.raft.State() == raft.Leader
-	return term, leads && term == s.raft.CurrentTerm()
+	r := s.now.Load()
+	if r == nil {
+		return 0, false
+	}
+	term = r.raft.CurrentTerm()
+	leads = r.raft.State() == raft.Leader
+	return term, leads && term == r.raft.CurrentTerm()
 }
 
 // Leader is the id of the node that leads, for all that this one knows; "": none.
 func (s *Store) Leader() string {
-	_, id := s.raft.LeaderWithID()
+	r := s.now.Load()
+	if r == nil {
+		return ""
+	}
+	_, id := r.raft.LeaderWithID()
 	return string(id)
 }
 
 // View lets look at the state, which must not be changed or kept; index is a position of the log up to which it holds
 // at least.
 func (s *Store) View(look func(st *state.State, index uint64)) {
-	index := s.raft.AppliedIndex()
+	index := uint64(0)
+	if r := s.now.Load(); r != nil {
+		index = r.raft.AppliedIndex()
+	}
 	s.machine.mu.Lock()
 	defer s.machine.mu.Unlock()
 	look(s.machine.state, index)
@@ -270,6 +440,7 @@
 
 // serveWrite takes one write from another node.
 func (s *Store) serveWrite(conn net.Conn) {
+	defer conn.Close()
 	conn.SetDeadline(time.Now().Add(2 * writeFor))
 	var c state.Command
 	if err := json.NewDecoder(io.LimitReader(conn, mostWrite)).Decode(&c); err != nil {
@@ -304,14 +475,31 @@
 // Close stops the node. One that leads hands that on first, so that writes wait for no election. Where raft does not
 // stop its log stays open, since it may still write to it; the process is to end.
 func (s *Store) Close() error {
-	if s.raft.State() == raft.Leader {
-		s.raft.LeadershipTransfer().Error() // where nobody can take it, an election will tell
-	}
-	err := within(closeFor, s.raft.Shutdown().Error)
-	s.trans.Close()
+	s.cancel()
+	err := s.stop(true)
 	s.layer.Close()
 	if errors.Is(err, ErrStuck) {
 		return err
 	}
-	return errors.Join(err, s.bolt.Close())
+	s.mu.Lock()
+	f := s.folder
+	s.mu.Unlock()
+	if f != nil {
+		err = errors.Join(err, f.Close())
+	}
+	return err
+}
+
+// stop ends the node's part.
+func (s *Store) stop(hand bool) error {
+	r := s.now.Swap(nil)
+	if r == nil {
+		return nil
+	}
+	if hand && r.raft.State() == raft.Leader {
+		r.raft.LeadershipTransfer().Error() // where nobody can take it, an election will tell
+	}
+	err := within(closeFor, r.raft.Shutdown().Error)
+	r.gate.Close()
+	return err
 }
--- a/internal/trace/trace.go
+++ b/internal/trace/trace.go
@@ -42,6 +42,7 @@
 	Refused = "refused" // for its epoch
 	Unknown = "unknown" // sent, and not confirmed
 	Share   = "share"   // Amount is in force until Until
+	Office  = "office"  // a copy begins to grant duties in Term
 	Applied = "applied" // a copy carried out entry Index
 	Begun   = "begun"   // an effect was recorded
 	Took    = "took"    // a published version was taken whole; Cause: turned down
