Find copies whose state differs, and let operators begin a set anew

Need: a bit spoilt in a copy's memory, or an entry carried out otherwise, stayed for good and was handed on; and where a majority had lost its folders the set stood still with no way on, now that no copy votes on what it has forgotten.

Change: the leader writes an entry once a second at which every copy sums one of 16 parts of what it holds, from its memory as it stands; the sums come with the claims, and who differs from a majority joins anew, the leader too. Where all are heard and no majority has one state, no effect is begun. store resolve begins the set anew with one folder; each folder tells how often that was done, and one from before has to join anew. A copy without all of the others waits half a second for their words. The laboratory changes a bit of what a copy holds in memory, and its checker wants that found and no other copy taken for it. The planted bug unproven looks at its office seldom, so that a leader that stood still answers as if it led.

--- a/cmd/puffinsaddle/duties.go
+++ b/cmd/puffinsaddle/duties.go
@@ -49,6 +49,7 @@
 	client *session.Client
 	keeper *work.Keeper
 	desk   *session.Desk
+	copy   *store.Store
 	core   atomic.Pointer[core.Core]
 
 	mu        sync.Mutex
@@ -116,6 +117,7 @@
 	if copy == nil {
 		return
 	}
+	h.copy = copy
 	d := h.cfg.Operator.Duties
 	g := &duty.Grantor{Rules: d.Rules(), Seed: 1, Most: d.Allot.Servers, Plant: h.cfg.Operator.Lab.Plant}
 	h.desk = session.NewDesk(copy, g, d.Sessions, h.steady, h.log)
@@ -226,6 +228,14 @@
 	}
 }
 
+// copied writes down the phases of this process's copy.
+func (h *duties) copied() func(phase, why string) {
+	if h == nil || h.trace == nil {
+		return nil
+	}
+	return func(phase, why string) { h.trace.Add(trace.Event{What: trace.Copy, Text: phase, Cause: why}, 0) }
+}
+
 // watch writes down what a copy carries out.
 func (h *duties) watch() func(index, term uint64, c state.Command, r state.Result) {
 	if h == nil || h.trace == nil {
@@ -236,6 +246,9 @@
 		if c.Fence != nil {
 			e.Duty, e.Epoch, e.Cause = c.Fence.Name, c.Fence.Epoch, r.Error
 		}
+		if c.Op == state.Compare {
+			e.N = r.N
+		}
 		if c.Op == state.Begin && r.Fresh {
 			e.Cause = c.Key
 		}
@@ -287,6 +300,13 @@
 		}
 		h.clk.Jump(ms) // the wall clock: nothing sets a steady one
 		h.log.Warn().Float64("ms", ms).Msg("clock jumps")
+	}, "PUT /-/lab/spoil": func(w http.ResponseWriter, r *http.Request) {
+		pick, err := strconv.ParseUint(r.URL.Query().Get("pick"), 10, 64)
+		if err != nil || h.copy == nil {
+			http.Error(w, "no pick, or no copy", http.StatusBadRequest)
+			return
+		}
+		fmt.Fprint(w, h.copy.Spoil(pick))
 	}}
 }
 
--- a/cmd/puffinsaddle/store.go
+++ b/cmd/puffinsaddle/store.go
@@ -22,11 +22,17 @@
 type storeCmd struct {
 	Status  statusCmd  `cmd:"" help:"Ask all copies how they are."`
 	Verify  verifyCmd  `cmd:"" help:"Check every record of a copy's folder, whose process must not run."`
+	Resolve resolveCmd `cmd:"" help:"Where a majority is lost for good: begin the set anew with what one copy's folder holds."`
 	Inspect inspectCmd `cmd:"" help:"Print entries of a copy's folder, whose process must not run."`
 }
 
 type (
-	statusCmd struct{ with }
+	statusCmd  struct{ with }
+	resolveCmd struct {
+		with
+		Config     string `env:"RELAY_CONFIG" help:"The platform's file, for the name where store.id is not set."`
+		AcceptLoss bool   `name:"accept-loss" help:"What the others hold beyond this folder is given up, whether it was agreed on or not."`
+	}
 	verifyCmd struct {
 		Dir  string `arg:"" type:"existingdir" help:"The copy's folder (store.dir)."`
 		JSON bool   `name:"json" help:"Print JSON."`
@@ -129,6 +135,40 @@
 	return "-"
 }
 
+// Run begins the set anew with the folder that the operator's file names.
+func (c *resolveCmd) Run(out io.Writer) error {
+	o, err := config.LoadOperator(c.Operator)
+	if err != nil {
+		return fmt.Errorf("%w: %v", errWrong, err)
+	}
+	set := o.Store
+	if set.ID == "" && c.Config != "" {
+		cfg, err := config.Load(func(key string) string { return map[string]string{"RELAY_CONFIG": c.Config}[key] })
+		if err != nil {
+			return fmt.Errorf("%w: %v", errWrong, err)
+		}
+		set.ID = cfg.Name
+	}
+	switch {
+	case set.Listen == "":
+		return fmt.Errorf("%w: %s: store.listen is missing", errWrong, c.Operator)
+	case set.ID == "":
+		return fmt.Errorf("%w: %s: store.id is missing, and no --config tells the name", errWrong, c.Operator)
+	case !c.AcceptLoss:
+		return fmt.Errorf("%w: stop all other copies, choose the one whose folder goes furthest (store verify), and say --accept-loss", errWrong)
+	}
+	r, err := store.Resolve(store.Options{ID: set.ID, Dir: set.Dir, Peers: set.Peers})
+	if err != nil {
+		return err
+	}
+	if c.JSON {
+		return json.NewEncoder(out).Encode(r)
+	}
+	_, err = fmt.Fprintf(out, "%s begins the set anew, for the %d. time, with entry %d of term %d as the last; start it first, then the others\n",
+		set.ID, r.Mark.Set, r.Mark.Last, r.Mark.Term)
+	return err
+}
+
 // Run checks a folder.
 func (c *verifyCmd) Run(out io.Writer) error {
 	r, err := disk.Verify(c.Dir)
--- a/internal/admit/admit.go
+++ b/internal/admit/admit.go
@@ -20,6 +20,7 @@
 	Term   uint64 `json:"term"`   // the latest term that it knows of
 	Last   uint64 `json:"last"`   // the position of its last entry
 	Joined uint64 `json:"joined"` // the position as of which the folder was joined without a vote; 0: it began with the set
+	Set    uint64 `json:"set"`    // how often operators began the set anew
 }
 
 // behind tells whether a folder lacks something that a later state of the same one had.
@@ -35,6 +36,39 @@
 	Fresh  bool   `json:"fresh,omitempty"`  // nothing was ever written to the folder
 	Rejoin string `json:"rejoin,omitempty"` // it asks to be joined anew, and why; "": it does not
 	Runs   bool   `json:"runs,omitempty"`   // it takes part
+	Digest Digest `json:"digest"`
+}
+
+// Digest is what a copy made of a part of its state at a position of the log, at which all copies look at the same part.
+type Digest struct {
+	At   uint64 `json:"at"` // 0: none yet
+	Part uint64 `json:"part"`
+	Sum  uint64 `json:"sum"`
+}
+
+// Differ tells which copies' state differs from that of a majority of the voters, by their digests at the latest position that
+// the asking copy has looked at. split: they differ, and no majority has one state.
+func Differ(at uint64, of map[string]Digest, voters int) (odd []string, split bool) {
+	sums := map[uint64]int{}
+	heard := 0
+	for _, d := range of {
+		if d.At == at && at > 0 {
+			sums[d.Sum]++
+			heard++
+		}
+	}
+	for sum, n := range sums {
+		if 2*n <= voters {
+			continue
+		}
+		for _, id := range slices.Sorted(maps.Keys(of)) {
+			if d := of[id]; d.At == at && d.Sum != sum {
+				odd = append(odd, id)
+			}
+		}
+		return odd, false
+	}
+	return nil, len(sums) > 1 && heard == voters
 }
 
 // Verdict is what a witness makes of a claim.
@@ -49,6 +83,7 @@
 	Replaced  Verdict = "replaced"  // another process has taken this one's place
 	Elsewhere Verdict = "elsewhere" // the id belongs to another address
 	Removed   Verdict = "removed"   // the set has no such id any more
+	Differs   Verdict = "differs"   // the copy's state differs from that of a majority
 )
 
 // Word is the answer to a claim.
@@ -61,6 +96,7 @@
 	Last    uint64  `json:"last,omitempty"`   // the witness's own last entry
 	Folder  string  `json:"folder,omitempty"` // the witness's own
 	Knows   bool    `json:"knows,omitempty"`  // it remembers this very folder of the claimant
+	Set     uint64  `json:"set,omitempty"`    // how often operators began the witness's set anew
 }
 
 // Member is one copy of a set as a configuration has it.
@@ -75,6 +111,7 @@
 	Of     map[string]Member // the set's latest configuration; nil: it knows none
 	Last   uint64
 	Folder string // its own
+	Set    uint64 // how often operators began the set anew
 }
 
 // AliveFor is how long, in ms of the witness's steady clock, a process that says nothing more is taken for alive while its
@@ -96,6 +133,7 @@
 
 	alive map[string]alive
 	asks  map[string]ask
+	odd   map[string]string // by id: folders whose copies differ from a majority
 }
 
 type ask struct {
@@ -108,13 +146,13 @@
 	if marks == nil {
 		marks = map[string]Mark{}
 	}
-	return &Witness{Me: me, Marks: marks, alive: map[string]alive{}, asks: map[string]ask{}}
+	return &Witness{Me: me, Marks: marks, alive: map[string]alive{}, asks: map[string]ask{}, odd: map[string]string{}}
 }
 
 // Hear takes a claim that came on a connection. keep: another folder, life or process is remembered now, and has to be on the
 // witness's disk before the answer goes out; what only grew may follow later.
 func (w *Witness) Hear(now float64, conn uint64, c Claim, v View) (word Word, keep bool) {
-	word = Word{From: w.Me, Verdict: Good, Begun: v.Begun, Last: v.Last, Folder: v.Folder}
+	word = Word{From: w.Me, Verdict: Good, Begun: v.Begun, Last: v.Last, Folder: v.Folder, Set: v.Set}
 	say := func(verdict Verdict, format string, a ...any) (Word, bool) {
 		word.Verdict, word.Why = verdict, fmt.Sprintf(format, a...)
 		return word, false
@@ -142,30 +180,27 @@
 	delete(w.asks, c.ID)
 	mark, had := w.Marks[c.ID]
 	word.Knows = had && mark.Folder == c.Folder
-	if votes := m.Votes || !known; votes {
-		switch {
-		case had && mark.Folder != c.Folder && c.Joined <= mark.Joined, !had && c.Fresh && c.Joined == 0 && v.Begun:
-			w.ask(now, c)
-			return say(Foreign, "%s had its vote with another folder", c.ID)
-		case had && mark.Folder == c.Folder && mark.Proc != c.Proc && c.Life <= mark.Life:
-			w.ask(now, c)
-			return say(Older, "the folder of %s was opened %d times, and this is the %d. of it", c.ID, mark.Life, c.Life)
-		case had && mark.Folder == c.Folder && mark.Proc != c.Proc && c.behind(mark):
-			w.ask(now, c)
-			return say(Older, "the folder of %s had entry %d in term %d, and this one has %d in %d", c.ID, mark.Last, mark.Term, c.Last, c.Term)
-		case c.Rejoin != "":
-			w.ask(now, c)
-			return word, false
-		}
-	}
-	w.Marks[c.ID] = c.Mark
-	return word, !had || mark.Folder != c.Folder || mark.Life != c.Life || mark.Proc != c.Proc
-}
-
-func (w *Witness) ask(now float64, c Claim) {
 	if c.Rejoin != "" {
 		w.asks[c.ID] = ask{c, now}
 	}
+	votes := m.Votes || !known
+	switch {
+	case c.Set < v.Set:
+		return say(Foreign, "operators began the set anew, for the %d. time, and this folder is from before", v.Set)
+	case c.Set > v.Set: // this witness has not heard of that yet, and has nothing to say against it
+	case had && mark.Folder != c.Folder && c.Joined <= mark.Joined && c.Set == mark.Set, !had && c.Fresh && c.Joined == 0 && v.Begun && votes:
+		return say(Foreign, "%s had its place with another folder", c.ID)
+	case had && mark.Folder == c.Folder && mark.Proc != c.Proc && c.Life <= mark.Life:
+		return say(Older, "the folder of %s was opened %d times, and this is the %d. of it", c.ID, mark.Life, c.Life)
+	case had && mark.Folder == c.Folder && mark.Proc != c.Proc && c.behind(mark):
+		return say(Older, "the folder of %s had entry %d in term %d, and this one has %d in %d", c.ID, mark.Last, mark.Term, c.Last, c.Term)
+	case w.odd[c.ID] == c.Folder && c.Folder != "":
+		return say(Differs, "the state of %s differs from that of a majority", c.ID)
+	case c.Rejoin != "":
+		return word, false
+	}
+	w.Marks[c.ID] = c.Mark
+	return word, !had || mark.Folder != c.Folder || mark.Life != c.Life || mark.Proc != c.Proc
 }
 
 // Know remembers the folders with which a new set is about to begin, so that none of them is taken for one that was emptied.
@@ -185,6 +220,13 @@
 	}
 }
 
+// Suspect notes that a copy differs from a majority: it is told so until it has joined anew.
+func (w *Witness) Suspect(id string) {
+	if m, had := w.Marks[id]; had {
+		w.odd[id] = m.Folder
+	}
+}
+
 // Asks lists the ids that asked of late to be joined anew, and still have a vote that they may not use.
 func (w *Witness) Asks(now float64) (ids []string) {
 	for _, id := range slices.Sorted(maps.Keys(w.asks)) {
@@ -216,6 +258,8 @@
 type Seeker struct {
 	Claim
 	Others []string // the ids of the other copies
+	Waited bool     // long enough for all that are there to be heard
+	Sole   bool     // operators began the set anew with this folder, and nobody else has got a vote since
 	Strict bool     // more of them have to be heard: enough that one has what was agreed on with this copy's word
 	Plant  string   // a planted bug; "": none
 
@@ -247,6 +291,9 @@
 // agreed on with this copy's word, which costs service: a second copy that is down keeps this one out.
 func (s *Seeker) Need() int {
 	n := len(s.Others)
+	if s.Sole {
+		return 0
+	}
 	if s.Strict && n > 0 {
 		return (n + 2) / 2
 	}
@@ -272,8 +319,8 @@
 		switch w.Verdict {
 		case Good:
 			agree++
-		case Older, Foreign:
-			if against == "" && (w.Verdict == Older || w.Last >= s.Joined) { // else it has not heard yet that this one joined anew
+		case Older, Foreign, Differs:
+			if against == "" && (w.Verdict != Foreign || w.Last >= s.Joined) { // else it has not heard yet that this one joined anew
 				against = id + ": " + w.Why
 			}
 		case Replaced:
@@ -295,10 +342,10 @@
 		return Begin, "all copies are there, and none belongs to a set"
 	case fresh:
 		return Wait, fmt.Sprintf("a new set begins once all other copies are heard; %d of %d are", agree, len(s.Others))
-	case agree >= s.Need():
+	case agree >= s.Need() && (agree == len(s.Others) || s.Waited):
 		return Start, fmt.Sprintf("%d of %d others say nothing against it", agree, len(s.Others))
 	}
-	return Wait, fmt.Sprintf("%d of the %d others that have to be heard are", agree, s.Need())
+	return Wait, fmt.Sprintf("%d others are heard; %d have to be, or all who are there", agree, s.Need())
 }
 
 // caughtUpFor is in how many reports running a copy without a vote has to have what the leader had at the report before.
@@ -345,10 +392,13 @@
 	return of
 }
 
-// JoinedAt is the position as of which a leader says that the copy joined without a vote; 0: none says so.
-func (s *Seeker) JoinedAt() (at uint64) {
+// JoinedAt is the position as of which a leader says that the copy joined without a vote, and the number of its set; 0: none
+// says so.
+func (s *Seeker) JoinedAt() (at, set uint64) {
 	for _, w := range s.words {
-		at = max(at, w.Joined)
+		if w.Joined > at {
+			at, set = w.Joined, w.Set
+		}
 	}
-	return at
+	return at, set
 }
--- a/internal/config/duties.go
+++ b/internal/config/duties.go
@@ -169,6 +169,9 @@
 	if st.Dir == "" {
 		return errors.New("store.dir is missing")
 	}
+	if !(st.CompareMs > 0) || math.IsInf(st.CompareMs, 0) {
+		return fmt.Errorf("store.compare_ms must be above 0, not %v", st.CompareMs)
+	}
 	if len(st.Peers) == 0 {
 		return errors.New("store.peers is missing: a copy asks the others before it takes part")
 	}
--- a/internal/lab/check.go
+++ b/internal/lab/check.go
@@ -14,6 +14,8 @@
 	"github.com/anishathalye/porcupine"
 
 	"puffinsaddle/internal/duty"
+	"puffinsaddle/internal/state"
+	"puffinsaddle/internal/store"
 	"puffinsaddle/internal/trace"
 )
 
@@ -49,7 +51,10 @@
 	Handovers   int
 	Effects     int
 	EffectTwice int
-	SharesMost  int64 // the most that was in force at once, in thousandths
+	SharesMost  int64     // the most that was in force at once, in thousandths
+	Differed    int       // copies that were found to differ from the others
+	Anew        int       // copies that joined anew, for whatever was wrong with their folders
+	CatchUp     []float64 // ms from when a copy asked to be joined anew to when it took part with all that the others had
 }
 
 // Gap is a time in which nobody held a duty.
@@ -88,6 +93,7 @@
 	f.shares(o)
 	f.effects(o)
 	f.counters(o)
+	f.differing(o)
 	return f
 }
 
@@ -212,6 +218,9 @@
 			entries[e.Index] = e
 			continue
 		}
+		if e.Text == state.Compare { // its memory may be spoilt: differing looks at that
+			continue
+		}
 		if first.Term != e.Term || first.Text != e.Text || first.Cause != e.Cause || first.Duty != e.Duty || first.Epoch != e.Epoch {
 			f.broken("copies agree", fmt.Sprintf("entry %d differs between %s and %s", e.Index, first.Who, e.Who), first, e)
 		}
@@ -317,6 +326,42 @@
 	}
 }
 
+// differing checks that a copy whose memory was spoilt was found by what the copies compare, and by that alone that none was
+// taken for spoilt which was not.
+func (f *Found) differing(o *Outcome) {
+	at := map[string]trace.Event{}
+	asked := map[string]float64{}
+	for _, e := range o.Events {
+		who := nameOf(e.Who)
+		switch {
+		case e.What == spoilt:
+			at[who] = e
+		case e.What == "killed", e.What == trace.Up:
+			delete(at, who) // its memory is gone
+			delete(asked, who)
+		case e.What == trace.Copy && e.Text == store.PhaseAsks:
+			f.Anew++
+			asked[who] = e.At
+			if !strings.Contains(e.Cause, "differs from that of a majority") {
+				continue
+			}
+			f.Differed++
+			if _, was := at[who]; !was {
+				f.broken("only what is spoilt differs", who+" was found to differ, and nothing had spoilt it", e)
+			}
+			delete(at, who)
+		case e.What == trace.Copy && e.Text == store.PhaseRuns && asked[who] > 0:
+			f.CatchUp = append(f.CatchUp, e.At-asked[who])
+			delete(asked, who)
+		}
+	}
+	for who, e := range at {
+		if o.Ended-e.At > 1000*compareAll {
+			f.broken("what is spoilt is found", fmt.Sprintf("%s differs since %.1f s before the end", who, (o.Ended-e.At)/1000), e)
+		}
+	}
+}
+
 // effects checks that no effect ran twice.
 func (f *Found) effects(o *Outcome) {
 	first := map[string]trace.Event{}
--- a/internal/lab/cmd.go
+++ b/internal/lab/cmd.go
@@ -68,6 +68,9 @@
 	CallsMost    int            `json:"calls_most"`
 	CallsMean    float64        `json:"calls_mean"`
 	TTL          float64        `json:"ttl_ms"`
+	Differed     int            `json:"divergence_found"`
+	Anew         int            `json:"joined_anew"`
+	CatchUpMax   float64        `json:"catch_up_ms_max"`
 }
 
 // Sum is the gaps of one kind, in ms.
@@ -178,7 +181,7 @@
 func result(s Setup, o *Outcome, f *Found) Result {
 	r := Result{Seed: s.Seed, Violations: len(f.Violations), Acts: f.Acts, Stale: f.Stale, Handovers: f.Handovers, Faults: len(o.Faults),
 		Effects: f.Effects, EffectsTwice: f.EffectTwice, Worth: o.Served.Worth, Served: o.Served, Calls: o.Vault.Calls, CallsMost: o.Vault.Most,
-		CallsMean: o.Vault.Mean, TTL: ttl, Gaps: map[string]Sum{}}
+		CallsMean: o.Vault.Mean, TTL: ttl, Gaps: map[string]Sum{}, Differed: f.Differed, Anew: f.Anew, CatchUpMax: most(f.CatchUp)}
 	by := map[string][]float64{}
 	var all []float64
 	for _, g := range f.Gaps {
--- a/internal/lab/run.go
+++ b/internal/lab/run.go
@@ -113,6 +113,7 @@
 	Crash  []string
 	Notes  []string
 	Begun  float64 // ms of the machine's clock at which the load began
+	Ended  float64 // and at which it ended
 	Faults []Done
 	Served Served
 	Vault  struct {
@@ -204,11 +205,12 @@
 	if err := r.settled(ctx, upWithin); err != nil && ctx.Err() == nil {
 		r.crash = append(r.crash, "after the last fault: "+err.Error())
 	}
+	ended := r.one.Now()
 	close(stop)
 	loads.Wait()
 	time.Sleep(clock.Duration(waitMs)) // the answers that are still owed, or their lack
 	r.end()
-	o := &Outcome{Crash: r.crash, Notes: r.notes, Begun: r.begun, Faults: made, Served: r.routers.served(), Load: r.routers, Pool: r.pool(), Alone: alone}
+	o := &Outcome{Crash: r.crash, Notes: r.notes, Begun: r.begun, Ended: ended, Faults: made, Served: r.routers.served(), Load: r.routers, Pool: r.pool(), Alone: alone}
 	o.Events = r.events
 	r.vault.count(0)
 	o.Vault.Calls, o.Vault.Most, o.Vault.Over, o.Vault.Slots = r.vault.calls, r.vault.most, r.vault.over, r.vault.slots
@@ -381,7 +383,7 @@
 		for id, l := range p.peers {
 			via[id] = l.Addr()
 		}
-		operator["store"] = m{"id": p.name, "listen": p.store, "dir": filepath.Join(p.dir, "store"), "peers": peers, "via": via}
+		operator["store"] = m{"id": p.name, "listen": p.store, "dir": filepath.Join(p.dir, "store"), "peers": peers, "via": via, "compare_ms": 100}
 	}
 	b, err := json.MarshalIndent(config, "", " ")
 	if err != nil {
@@ -877,6 +879,30 @@
 			again(o)
 		}
 		return p.name
+	case SpoilMemory:
+		for _, s := range r.look() {
+			if !s.whole() {
+				return "nobody: a copy has not its vote back yet"
+			}
+		}
+		p := r.procs[f.Pick%uint64(r.Copies)]
+		req, err := http.NewRequestWithContext(ctx, http.MethodPut, fmt.Sprintf("http://%s/-/lab/spoil?pick=%d", p.ops, f.Pick), nil)
+		if err != nil {
+			return err.Error()
+		}
+		resp, err := web.Do(req)
+		if err != nil {
+			r.note("spoil: %v", err)
+			return "nobody: " + err.Error()
+		}
+		b, _ := io.ReadAll(io.LimitReader(resp.Body, 1<<10))
+		resp.Body.Close()
+		if resp.StatusCode != http.StatusOK || len(b) == 0 {
+			return "nobody: nothing was held in memory"
+		}
+		r.add(trace.Event{What: spoilt, Who: p.name, Text: string(b)})
+		span()
+		return fmt.Sprintf("%s, effect %s", p.name, b)
 	case ColdAll:
 		r.mu.Lock()
 		r.cold, r.bootAt = true, time.Now()
@@ -948,6 +974,10 @@
 	return os.WriteFile(filepath.Join(dir, "SUMS"), []byte(sums), 0o644)
 }
 
+const compareAll = 13 // s in which the copies of a laboratory have compared all parts of their state, an election included
+
+const spoilt = "spoilt" // a copy's memory was, by the laboratory
+
 // spoil changes some bits of a file, where the seed says.
 func spoil(path string, pick uint64) error {
 	b, err := os.ReadFile(path)
--- a/internal/net/session/desk.go
+++ b/internal/net/session/desk.go
@@ -57,7 +57,8 @@
 	asks     []question
 	office   uint64 // the term in which the state is known to be whole; 0: none
 	flying   bool
-	believes bool               // the copy led at the last look; the planted bug goes by that alone
+	believes bool               // the copy led at a look some time ago; the planted bug goes by that alone
+	looks    int                // that found it not leading
 	callers  map[string]*caller // by process: who said the latest beat
 	told     map[string]uint64  // the latest beat that was taken, by process
 	needs    map[string]int64
@@ -292,8 +293,11 @@
 	term, leads := d.copy.Office()
 	switch {
 	case !leads:
-		d.office, d.believes = 0, false
+		d.office = 0
 		d.leads.Store(0)
+		if d.looks++; d.looks%10 == 0 { // the planted bug looks that seldom
+			d.believes = false
+		}
 		for c := range d.beats {
 			d.elsewhere(c, 0)
 		}
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -36,6 +36,8 @@
 	Ack    = "ack"  // a process uses no more than its share
 	Word   = "word" // what a process made of a version
 
+	Compare = "compare" // all copies look at a part of what they hold
+
 	// What may be done in an act.
 	Mark    = "mark" // count one up
 	Share   = "share"
@@ -68,7 +70,7 @@
 // Result is what a command came to.
 type Result struct {
 	Fresh bool     `json:"fresh,omitempty"` // Set, Delete, Begin: the key was absent
-	N     uint64   `json:"n,omitempty"`     // Mark: the count; Settle, Prune: how many; Publish: the version
+	N     uint64   `json:"n,omitempty"`     // Mark: the count; Settle, Prune: how many; Publish: the version; Compare: the digest
 	Stale bool     `json:"stale,omitempty"` // refused: the epoch is not the one in force
 	Error string   `json:"error,omitempty"` // refused, and nothing was changed
 	Part  []string `json:"part,omitempty"`  // Orders: "" or the refusal of each
@@ -133,6 +135,8 @@
 			r.Part = append(r.Part, text(s.order(o, term)))
 		}
 		return r
+	case Compare:
+		return Result{N: s.Digest(c.Seq)}
 	case Ask:
 		return Result{Error: text(s.Duties.Ask(c.Key))}
 	case Freeze, Thaw:
--- a/internal/store/disk/disk.go
+++ b/internal/store/disk/disk.go
@@ -499,7 +499,21 @@
 	return l.do("write", func() error { return l.write(key, v) })
 }
 
-func (l *Log) putNumber(key string, n uint64) error { return l.put(key, number(n)) }
+func (l *Log) putNumber(key string, n uint64) error { return l.putNumbers(map[string]uint64{key: n}) }
+
+// putNumbers writes numbers of our own, all or none.
+func (l *Log) putNumbers(of map[string]uint64) error {
+	return l.do("write", func() error {
+		return l.db.Update(func(tx *bbolt.Tx) error {
+			for key, n := range of {
+				if err := tx.Bucket(values).Put([]byte(key), seal(values, []byte(key), number(n))); err != nil {
+					return err
+				}
+			}
+			return nil
+		})
+	})
+}
 
 // Get reads a value.
 func (l *Log) Get(key []byte) (v []byte, err error) {
--- a/internal/store/disk/folder.go
+++ b/internal/store/disk/folder.go
@@ -26,6 +26,8 @@
 	lifeKey   = "life"   // how often it was opened
 	joinedKey = "joined" // the position as of which it joined without a vote
 	votesKey  = "votes"  // 1: it was given the vote since
+	setKey    = "set"    // how often operators began the set anew
+	soleKey   = "sole"   // 1: they did so with this folder, and nobody else has got a vote since
 	marksKey  = "marks"  // what it remembers of other copies
 )
 
@@ -48,8 +50,8 @@
 	Dir  string
 	Snap *raft.FileSnapshotStore
 
-	mark  admit.Mark
-	votes bool
+	mark        admit.Mark
+	votes, sole bool
 }
 
 // OpenFolder opens a copy's folder, or makes it; proc is drawn at the start of the process. Where a record or a snapshot is
@@ -94,7 +96,7 @@
 		return err
 	}
 	f.mark.Folder = string(name)
-	for key, into := range map[string]*uint64{lifeKey: &f.mark.Life, joinedKey: &f.mark.Joined, "CurrentTerm": &f.mark.Term} {
+	for key, into := range map[string]*uint64{lifeKey: &f.mark.Life, joinedKey: &f.mark.Joined, setKey: &f.mark.Set, "CurrentTerm": &f.mark.Term} {
 		if *into, err = f.number(key); err != nil {
 			return err
 		}
@@ -103,6 +105,11 @@
 	if err != nil {
 		return err
 	}
+	sole, err := f.number(soleKey)
+	if err != nil {
+		return err
+	}
+	f.sole = sole == 1
 	f.votes = f.mark.Joined == 0 || votes == 1
 	if f.mark.Last, err = f.LastIndex(); err != nil {
 		return err
@@ -121,15 +128,37 @@
 // Votes tells whether the copy may vote with it: it began with its set, or was given the vote since it joined.
 func (f *Folder) Votes() bool { return f.votes }
 
-// Join notes that the copy joined without a vote, as of a position.
-func (f *Folder) Join(at uint64) error {
-	if err := f.putNumber(joinedKey, at); err != nil {
+// Join notes that the copy joined without a vote, as of a position, in a set that operators began anew so many times.
+func (f *Folder) Join(at, set uint64) error {
+	if err := f.putNumbers(map[string]uint64{joinedKey: at, setKey: set}); err != nil {
+		return err
+	}
+	f.mark.Joined, f.mark.Set, f.votes = at, set, false
+	return nil
+}
+
+// Sole tells whether operators began the set anew with this folder, and nobody else has got a vote since.
+func (f *Folder) Sole() bool { return f.sole }
+
+// Anew notes that operators begin the set anew with this folder.
+func (f *Folder) Anew() error {
+	if err := f.putNumbers(map[string]uint64{setKey: f.mark.Set + 1, soleKey: 1, votesKey: 1}); err != nil {
 		return err
 	}
-	f.mark.Joined, f.votes = at, false
+	f.mark.Set++
+	f.sole, f.votes = true, true
 	return nil
 }
 
+// Shared notes that somebody else is about to get a vote.
+func (f *Folder) Shared() error {
+	if !f.sole {
+		return nil
+	}
+	f.sole = false
+	return f.putNumber(soleKey, 0)
+}
+
 // Voter notes that the copy was given the vote.
 func (f *Folder) Voter() error { return f.putNumber(votesKey, 1) }
 
@@ -277,6 +306,7 @@
 	}
 	r.Mark.Life, _ = l.number(lifeKey)
 	r.Mark.Joined, _ = l.number(joinedKey)
+	r.Mark.Set, _ = l.number(setKey)
 	votes, _ := l.number(votesKey)
 	r.Mark.Term, r.Mark.Last, r.Votes = r.Found.Term, r.Found.Last, r.Mark.Joined == 0 || votes == 1
 	if r.Remembers, err = f.Marks(); err != nil {
--- a/internal/store/fsm.go
+++ b/internal/store/fsm.go
@@ -7,6 +7,7 @@
 
 	"github.com/hashicorp/raft"
 
+	"puffinsaddle/internal/admit"
 	"puffinsaddle/internal/state"
 )
 
@@ -18,6 +19,7 @@
 	changed chan struct{}
 	watch   func(index, term uint64, c state.Command, r state.Result) // called for each entry, in order; nil: nobody
 	plant   string
+	digest  admit.Digest
 }
 
 func newMachine() *machine {
@@ -35,6 +37,9 @@
 		r.Error = err.Error()
 	} else {
 		r = m.state.Apply(c, l.Term)
+		if c.Op == state.Compare {
+			m.digest = admit.Digest{At: l.Index, Part: c.Seq, Sum: r.N}
+		}
 	}
 	m.index = l.Index
 	if m.watch != nil {
@@ -44,11 +49,18 @@
 	return r
 }
 
+// looked is what the last look at a part of the state came to.
+func (m *machine) looked() admit.Digest {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.digest
+}
+
 // clear forgets all: the folder that it came from is not used any more.
 func (m *machine) clear() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.state, m.index = state.New(), 0
+	m.state, m.index, m.digest = state.New(), 0, admit.Digest{}
 	m.state.Plant = m.plant
 	m.tell()
 }
--- a/internal/store/join.go
+++ b/internal/store/join.go
@@ -13,6 +13,7 @@
 
 	"puffinsaddle/internal/admit"
 	"puffinsaddle/internal/frame"
+	"puffinsaddle/internal/state"
 	"puffinsaddle/internal/store/disk"
 )
 
@@ -24,6 +25,9 @@
 	mostClaims  = 64              // connections of claims served at once
 	mostStatus  = 64 << 10
 	changeFor   = 2 * time.Second // a change of the set has so long to be written
+	hearFor     = 500.0           // ms in which all who are there are heard, before fewer do
+	compareEach = 1000.0          // ms between two parts of the state that copies compare, at least,
+	compareWait = 2000.0          // and so many more for a copy that does not say what it made of one
 )
 
 // Phases of a node.
@@ -43,6 +47,9 @@
 		}
 		e.Str("copy", s.o.ID).Str("phase", phase).Str("why", why).Msg("copy of the store")
 	}
+	if s.o.Told != nil && s.phase != phase {
+		s.o.Told(phase, why)
+	}
 	s.phase, s.why = phase, why
 	close(s.news)
 	s.news = make(chan struct{})
@@ -119,6 +126,7 @@
 	if r := s.now.Load(); r != nil {
 		// The term first: a position that is told with an earlier term was there in it.
 		s.seeker.Term, s.seeker.Last = r.raft.CurrentTerm(), r.raft.LastIndex()
+		s.seeker.Digest = s.machine.looked()
 	}
 	return s.seeker.Claim
 }
@@ -132,6 +140,7 @@
 			s.given(r)
 			if _, leads := s.Office(); leads {
 				s.lead(r)
+				s.compare(r)
 			}
 		}
 		s.pause(reportEvery, s.kick)
@@ -141,8 +150,9 @@
 func (s *Store) turn() {
 	s.mu.Lock()
 	phase := s.phase
+	s.seeker.Waited = s.o.Steady.Now() > s.began+hearFor
 	d, why := s.seeker.Decide()
-	joined := s.seeker.JoinedAt()
+	joined, set := s.seeker.JoinedAt()
 	if phase == PhaseSeeks && d == admit.Wait && s.why != why {
 		s.tell(PhaseSeeks, why)
 	}
@@ -160,7 +170,7 @@
 			s.ask(why)
 		}
 	case d == admit.Renew:
-		err = s.renew(joined)
+		err = s.renew(joined, set)
 	case d == admit.Start && !runs:
 		err = s.start(nil)
 	case d == admit.Begin && !runs:
@@ -188,7 +198,7 @@
 }
 
 // renew sets the folder aside and begins with an empty one, without a vote.
-func (s *Store) renew(joined uint64) error {
+func (s *Store) renew(joined, set uint64) error {
 	s.mu.Lock()
 	f := s.folder
 	s.mu.Unlock()
@@ -202,7 +212,7 @@
 		return err
 	}
 	s.machine.clear()
-	damage, err := s.open(joined)
+	damage, err := s.open(joined, set)
 	if err = errors.Join(damage, err); err != nil {
 		return err
 	}
@@ -243,6 +253,54 @@
 	}
 }
 
+// compare has all copies look at a part of their state now and then, and compares what they made of the one before.
+func (s *Store) compare(r *running) {
+	now := s.o.Steady.Now()
+	s.mu.Lock()
+	mine, voters := s.machine.looked(), 0
+	of, late := map[string]admit.Digest{s.o.ID: mine}, false
+	for _, m := range r.raft.GetConfiguration().Configuration().Servers {
+		if m.Suffrage != raft.Voter {
+			continue
+		}
+		voters++
+		if string(m.ID) == s.o.ID {
+			continue
+		}
+		if c, live := s.witness.Latest(string(m.ID), now); live && c.Runs {
+			of[string(m.ID)] = c.Digest
+			late = late || c.Digest.At != mine.At
+		}
+	}
+	odd, split := admit.Differ(mine.At, of, voters)
+	for _, id := range odd {
+		s.witness.Suspect(id)
+	}
+	due := now >= s.compareAt && !late || now >= s.compareAt+compareWait
+	if due {
+		s.compareAt, s.part = now+s.o.CompareMs, s.part+1
+	}
+	part := s.part
+	s.mu.Unlock()
+	if split && !s.halted.Swap(true) {
+		s.o.Events.Error().Uint64("at", mine.At).Uint64("part", mine.Part).Msg("copies differ and no majority has one state: no effect is begun any more")
+	}
+	for _, id := range odd {
+		s.o.Events.Error().Str("copy", id).Uint64("at", mine.At).Uint64("part", mine.Part).Msg("differs from a majority")
+		if id == s.o.ID {
+			if err := s.stop(true); err == nil {
+				s.ask("the state of this copy differs from that of a majority")
+			} else {
+				s.failed(err)
+			}
+			return
+		}
+	}
+	if due {
+		s.Propose(state.Command{Op: state.Compare, Seq: part}) // nobody waits for it: the claims tell what came of it
+	}
+}
+
 // lead takes the vote from who asks to be joined anew, and gives it to who has caught up.
 func (s *Store) lead(r *running) {
 	s.mu.Lock()
@@ -260,7 +318,7 @@
 			ready := s.promote[id]
 			delete(s.promote, id)
 			s.mu.Unlock()
-			if ready {
+			if ready && r.folder.Shared() == nil {
 				err := r.raft.AddVoter(m.ID, m.Address, 0, changeFor).Error()
 				s.o.Events.Info().Str("copy", id).Err(err).Msg("has caught up and gets its vote")
 			}
@@ -306,8 +364,8 @@
 	s.mu.Lock()
 	w, keep := s.witness.Hear(s.o.Steady.Now(), conn, c, v)
 	s.dirty = s.dirty || !keep
-	learns := leads && w.Verdict == admit.Good && v.Of[c.ID] != (admit.Member{}) && !m.Votes
-	if learns && c.Rejoin == "" {
+	learns := leads && v.Of[c.ID] != (admit.Member{}) && !m.Votes && w.Verdict != admit.Elsewhere
+	if learns && w.Verdict == admit.Good && c.Rejoin == "" {
 		l := s.learners[c.ID]
 		if l == nil {
 			l = &admit.Learner{}
@@ -342,9 +400,9 @@
 	if r == nil {
 		s.mu.Lock()
 		defer s.mu.Unlock()
-		return admit.View{Begun: s.folder == nil || !s.seeker.Fresh || s.seeker.Joined > 0, Last: s.seeker.Last, Folder: s.seeker.Folder}, m, nil
+		return admit.View{Begun: s.folder == nil || !s.seeker.Fresh || s.seeker.Joined > 0, Last: s.seeker.Last, Folder: s.seeker.Folder, Set: s.seeker.Set}, m, nil
 	}
-	v.Folder = r.folder.Mark().Folder
+	v.Folder, v.Set = r.folder.Mark().Folder, r.folder.Mark().Set
 	v.Last = r.raft.LastIndex() // before the configuration: a vote that is given after this look has a later position
 	v.Begun, v.Of = v.Last > 0, map[string]admit.Member{}
 	for _, c := range r.raft.GetConfiguration().Configuration().Servers {
@@ -386,6 +444,7 @@
 	Leads   bool       `json:"leads"`
 	Votes   bool       `json:"votes"`
 	Applied uint64     `json:"applied"`
+	Halted  bool       `json:"halted,omitempty"` // copies differ without a majority: no effect is begun
 	Mark    admit.Mark `json:"mark"`
 	Members []Member   `json:"members,omitempty"`
 }
@@ -411,7 +470,7 @@
 	now := s.o.Steady.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	st.Phase, st.Why, st.Mark = s.phase, s.why, s.claim().Mark
+	st.Phase, st.Why, st.Mark, st.Halted = s.phase, s.why, s.claim().Mark, s.halted.Load()
 	st.Mark.Term = max(st.Mark.Term, term)
 	for _, id := range slices.Sorted(maps.Keys(v.Of)) {
 		m := Member{ID: id, Addr: v.Of[id].Addr, Votes: v.Of[id].Votes, Alive: id == s.o.ID, Last: v.Last}
--- /dev/null
+++ b/internal/store/resolve.go
@@ -0,0 +1,64 @@
+package store
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+
+	"github.com/hashicorp/raft"
+
+	"puffinsaddle/internal/store/disk"
+)
+
+// Resolve begins a set anew with what the folder of one node holds, where a majority is lost for good. The node's process must
+// not run. It is the only one with a vote then; the others lose what they hold beyond it when they come, since each has to join
+// anew, and get their votes back as they catch up. Nobody can tell whether what is lost was agreed on: that is the operators'
+// decision.
+func Resolve(o Options) (disk.Report, error) {
+	if o.Log == nil {
+		o.Log = io.Discard
+	}
+	if o.Peers[o.ID] == "" {
+		return disk.Report{}, fmt.Errorf("store: %s is not among its own peers", o.ID)
+	}
+	report, err := disk.Verify(o.Dir)
+	switch {
+	case err != nil:
+		return report, err
+	case report.Damage != "":
+		return report, errors.New(report.Damage)
+	case report.Mark.Last == 0:
+		return report, fmt.Errorf("store: %s holds nothing to begin with", o.Dir)
+	case !report.Votes:
+		return report, fmt.Errorf("store: %s joined as of entry %d and had not caught up: choose a copy with a vote", o.Dir, report.Mark.Joined)
+	}
+	proc, err := disk.Draw()
+	if err != nil {
+		return report, err
+	}
+	f, err := disk.OpenFolder(o.Dir, proc, o.Log, disk.Options{})
+	if err != nil {
+		return report, err
+	}
+	defer f.Close()
+	var c raft.Configuration
+	for _, id := range slices.Sorted(maps.Keys(o.Peers)) {
+		member := raft.Server{ID: raft.ServerID(id), Address: raft.ServerAddress(o.Peers[id]), Suffrage: raft.Nonvoter}
+		if id == o.ID {
+			member.Suffrage = raft.Voter
+		}
+		c.Servers = append(c.Servers, member)
+	}
+	_, trans := raft.NewInmemTransport(raft.ServerAddress(o.Peers[o.ID]))
+	if err := raft.RecoverCluster(o.raft(), newMachine(), f, f, f.Snap, trans, c); err != nil {
+		return report, fmt.Errorf("store: %w", err)
+	}
+	// Last, so that an end in the middle leaves a folder that is still the set's, and the command can be given again.
+	if err := f.Anew(); err != nil {
+		return report, err
+	}
+	report.Mark = f.Mark()
+	return report, nil
+}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -9,7 +9,9 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -26,6 +28,9 @@
 // ErrNoQuorum is the error of a write that no majority took. It may still be carried out later.
 var ErrNoQuorum = errors.New("store: no quorum: the write was not confirmed by a majority of the nodes")
 
+// ErrDiffer refuses effects while copies differ and no majority has one state.
+var ErrDiffer = errors.New("store: copies differ and no majority has one state: no effect is begun until operators have decided")
+
 const (
 	writeFor      = 2 * time.Second
 	mostWrite     = 1 << 20 // bytes of one write
@@ -47,10 +52,23 @@
 	Events   zerolog.Logger
 	Steady   *clock.Clock // nil: the system's
 
+	CompareMs float64                 // between two parts of the state that copies compare; 0: 1000
+	Told      func(phase, why string) // called at each change of the node's phase; must not wait; nil: nobody asks
+
 	Watch func(index, term uint64, c state.Command, r state.Result) // called for each entry that is applied, in order; must not wait
 	Plant string                                                    // a planted bug, for the laboratory; "": none
 }
 
+// raft is the library's configuration.
+func (o Options) raft() *raft.Config {
+	conf := raft.DefaultConfig()
+	conf.LocalID, conf.LogOutput, conf.SnapshotThreshold = raft.ServerID(o.ID), o.Log, snapshotAfter
+	conf.LogLevel = "WARN"
+	// A leader's end must be found, and another one chosen, before those who hold duties have to give them up.
+	conf.HeartbeatTimeout, conf.ElectionTimeout, conf.LeaderLeaseTimeout = leaderFor, leaderFor, leaderFor/2
+	return conf
+}
+
 // Store is one node.
 type Store struct {
 	o       Options
@@ -65,17 +83,21 @@
 	kick   chan struct{}           // something changed that a decision may rest on
 	conns  atomic.Uint64
 	claims atomic.Int64 // connections of claims that are served
-
-	mu       sync.Mutex
-	folder   *disk.Folder // nil: what stands there is damaged
-	seeker   admit.Seeker
-	witness  *admit.Witness
-	learners map[string]*admit.Learner
-	promote  map[string]bool // learners that have caught up
-	phase    string
-	why      string
-	dirty    bool          // what is remembered of others is newer than what the folder has
-	news     chan struct{} // closed at each change of the claim, or of whether the node takes part
+	halted atomic.Bool  // copies differ without a majority
+
+	mu        sync.Mutex
+	folder    *disk.Folder // nil: what stands there is damaged
+	seeker    admit.Seeker
+	witness   *admit.Witness
+	learners  map[string]*admit.Learner
+	promote   map[string]bool // learners that have caught up
+	phase     string
+	why       string
+	began     float64 // when it began to seek
+	compareAt float64 // the next part of the state is compared then
+	part      uint64
+	dirty     bool          // what is remembered of others is newer than what the folder has
+	news      chan struct{} // closed at each change of the claim, or of whether the node takes part
 }
 
 // running is the part of a node that takes part.
@@ -96,6 +118,9 @@
 	if o.Steady == nil {
 		o.Steady = clock.Steady()
 	}
+	if o.CompareMs == 0 {
+		o.CompareMs = compareEach
+	}
 	if len(o.Peers) > 0 && o.Peers[o.ID] == "" {
 		return nil, fmt.Errorf("store: %s is not among its own peers", o.ID)
 	}
@@ -114,7 +139,7 @@
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	s.machine.watch, s.machine.plant, s.machine.state.Plant = o.Watch, o.Plant, o.Plant
 	s.layer = newLayer(ln, map[byte]func(net.Conn){forWrites: s.serveWrite, forClaims: s.serveClaims, forStatus: s.serveStatus}, o.Via)
-	damage, err := s.open(0)
+	damage, err := s.open(0, 0)
 	if err == nil && damage != nil && len(o.Peers) < 2 {
 		err = damage // nobody to build it anew from
 	}
@@ -132,13 +157,14 @@
 	}
 	go s.layer.run()
 	if len(o.Peers) > 1 {
+		s.began = o.Steady.Now()
 		s.seek()
 	}
 	return s, nil
 }
 
 // open opens the folder. A folder that is damaged is no error: the node asks to be joined anew.
-func (s *Store) open(joined uint64) (damage error, err error) {
+func (s *Store) open(joined, set uint64) (damage error, err error) {
 	f, err := disk.OpenFolder(s.o.Dir, s.proc, s.o.Log, disk.Options{Fail: s.failed})
 	if bad := (*disk.Damage)(nil); errors.As(err, &bad) {
 		damage, err = bad, nil
@@ -149,7 +175,7 @@
 	var marks map[string]admit.Mark
 	if f != nil {
 		if joined > 0 {
-			err = f.Join(joined)
+			err = f.Join(joined, set)
 		}
 		if err == nil {
 			marks, err = f.Marks()
@@ -175,7 +201,7 @@
 		}
 	}
 	if f != nil {
-		s.seeker.Mark, s.seeker.Fresh = f.Mark(), f.Fresh()
+		s.seeker.Mark, s.seeker.Fresh, s.seeker.Sole = f.Mark(), f.Fresh(), f.Sole()
 	} else {
 		s.seeker.Proc, s.seeker.Rejoin = s.proc, damage.Error()
 		s.tell(PhaseAsks, damage.Error())
@@ -193,14 +219,9 @@
 	lane := s.layer.open()
 	r.trans = raft.NewNetworkTransport(lane, 3, writeFor, s.o.Log)
 	r.gate = newGate(r.trans, r.votes.Load)
-	conf := raft.DefaultConfig()
-	conf.LocalID, conf.LogOutput, conf.SnapshotThreshold = raft.ServerID(s.o.ID), s.o.Log, snapshotAfter
-	conf.LogLevel = "WARN"
-	// A leader's end must be found, and another one chosen, before those who hold duties have to give them up.
-	conf.HeartbeatTimeout, conf.ElectionTimeout, conf.LeaderLeaseTimeout = leaderFor, leaderFor, leaderFor/2
 	fresh := f.Fresh() && f.Mark().Joined == 0
 	var err error
-	if r.raft, err = raft.NewRaft(conf, s.machine, f, f, f.Snap, r.gate); err != nil {
+	if r.raft, err = raft.NewRaft(s.o.raft(), s.machine, f, f, f.Snap, r.gate); err != nil {
 		r.gate.Close()
 		lane.Close()
 		return err
@@ -369,6 +390,9 @@
 // one goroutine proposes them.
 func (s *Store) Propose(c state.Command) func() (state.Result, error) {
 	b, err := json.Marshal(c)
+	if err == nil && c.Op == state.Begin && s.halted.Load() {
+		err = ErrDiffer
+	}
 	if err != nil {
 		return func() (state.Result, error) { return state.Result{}, err }
 	}
@@ -431,6 +455,20 @@
 	look(s.machine.state, index)
 }
 
+// Spoil changes a bit of what this copy holds in memory, for the laboratory and tests; it tells where.
+func (s *Store) Spoil(pick uint64) string {
+	s.machine.mu.Lock()
+	defer s.machine.mu.Unlock()
+	all := s.machine.state.Effects.Effects
+	if len(all) == 0 {
+		return ""
+	}
+	ids := slices.Sorted(maps.Keys(all))
+	id := ids[pick%uint64(len(ids))]
+	all[id].Seq ^= 1 << (pick / 7 % 32)
+	return id
+}
+
 // ServeSessions hands connections of order servers to serve, which closes them.
 func (s *Store) ServeSessions(serve func(net.Conn)) {
 	s.layer.mu.Lock()
--- a/internal/trace/trace.go
+++ b/internal/trace/trace.go
@@ -43,6 +43,7 @@
 	Unknown = "unknown" // sent, and not confirmed
 	Share   = "share"   // Amount is in force until Until
 	Office  = "office"  // a copy begins to grant duties in Term
+	Copy    = "copy"    // a copy is in phase Text, for Cause
 	Applied = "applied" // a copy carried out entry Index
 	Begun   = "begun"   // an effect was recorded
 	Took    = "took"    // a published version was taken whole; Cause: turned down
