--- a/internal/lab/run.go
+++ b/internal/lab/run.go
@@ -629,14 +629,17 @@
 	return of[name], name
 }
 
-// holderBut picks a holder other than one process, and a duty that it holds; nil: there is none.
-func (r *run) holderBut(not *proc, pick uint64) (*proc, string) {
-	for try := range uint64(8) {
-		if p, name := r.holder(pick + try); p != not && name != nothing {
-			return p, name
+// slowest is the holder, other than one process, whose clock runs slowest, and a duty that it holds; nil: there is none. It is
+// the one that believes in its duty for longest.
+func (r *run) slowest(not *proc) (slow *proc, duty string) {
+	for p, s := range r.look() {
+		for name := range s.Duties.Held {
+			if p != not && (slow == nil || p.rate < slow.rate || p == slow && name < duty) {
+				slow, duty = p, name
+			}
 		}
 	}
-	return nil, ""
+	return slow, duty
 }
 
 // later makes answers come later and later, to 1.2 s, and tells when it was done. Each step is less than the silence after
@@ -776,7 +779,7 @@
 		// then goes on with the holder's words before it and another leader long in office: who answered on the mere belief
 		// that it leads would renew what the other may grant anew.
 		q := r.leader(f.Pick)
-		p, name := r.holderBut(q, f.Pick)
+		p, name := r.slowest(q)
 		if p == nil {
 			return "nobody: " + q.name + " leads and holds all"
 		}
