--- a/internal/store/disk/disk.go
+++ b/internal/store/disk/disk.go
@@ -63,9 +63,15 @@
 	// Buckets, and the form of an entry, are those of hashicorp/raft-boltdb, which the build before used.
 	logs   = []byte("logs")
 	values = []byte("conf")
-	form   = &codec.MsgpackHandle{BasicHandle: codec.BasicHandle{TimeNotBuiltin: true}}
+	form   = earlier()
 )
 
+func earlier() *codec.MsgpackHandle {
+	h := &codec.MsgpackHandle{}
+	h.TimeNotBuiltin = true
+	return h
+}
+
 const trailer = 8 // magic and checksum
 
 // sum is the checksum of a record with its place, so that one that stands elsewhere is damage too.
