Tie the tries of a keyed request by its once, so that none runs twice in the window

Neither front read `once`; keyTable.remember returned at once where a request had no key, and core.translate told the module of no original unless the class was safe. So every further try of a keyed request ran, also beside the first. Two tries of one batch were never tied, since the first was not yet remembered when the second was translated. Ruled out: the module. settleRepeat and remember have kept the window all along; it was never told of a repeat.

Change: the key table also ties keyed tries, from the reading on, for the window counted from `at` of the try that ran, and for a deadline more, since a try within the window may be read later. Within one call of the module the first try stands for the others. A missing or malformed key, or another body under a known one, fails unrun. What can't be remembered in its part of the memory is refused and not begun, and the log says so. A run of which nothing was started leaves no tie. `tenant` and `cost` are read, checked and handed to the module. The ledger in memory forgets by time, not by count. Settings with a keyed class and no window are refused by the key's name.

The test of the ledger that forgot by count is replaced by one that holds it to the time, over 65,536 effects. Each test of tries was seen to fail without the tie (a second EXEC came, or the answer never did).

--- a/cmd/puffinsaddle/main.go
+++ b/cmd/puffinsaddle/main.go
@@ -39,7 +39,8 @@
 const (
 	spareSockets = 64 // descriptors for the executor, the vault, logs and the rest
 	drainMark    = "drain/"
-	memoryPart   = 0.7 // of the limit, from which the collector works harder; stacks and sockets need the rest
+	keyedPart    = 0.15 // of the limit, for the tries of keyed classes and their results
+	memoryPart   = 0.7  // of the limit, from which the collector works harder; stacks and sockets need the rest
 )
 
 func main() {
@@ -120,6 +121,7 @@
 	}
 	calls := vault.New(cfg.Vault, clk)
 	c = core.New(clk, log, cfg.Settings, cfg.Seed, runner, calls, ledger)
+	c.Room(int(cfg.MemoryMB * keyedPart * (1 << 20)))
 	held.serve(ctx, c, farm)
 	given, err := inherit(cfg, log)
 	if err != nil {
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -64,6 +64,8 @@
 		{`"sockets":1024`, `"sockets":3`, "", `"limits.sockets" must be`},
 		{`"aim":1700000000,`, "", "", `"aim" is missing`},
 		{`"idempotency":"unsafe"`, `"idempotency":"maybe"`, "", `"idempotency" is not known`},
+		{`"idempotency":"unsafe"`, `"idempotency":"keyed"`, "", `classes[0]: "keyTtl" is missing`},
+		{`"idempotency":"unsafe"`, `"idempotency":"keyed","keyTtl":0`, "", `classes[0]: "keyTtl" must be above 0`},
 		{`"nCores":6`, `"nCores":0`, "", `Cores must be`},
 		{good, "{", "", "malformed JSON"},
 		{"", "", "uwsgi: {lisen: x}", "lisen"},
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -93,6 +93,9 @@
 	case "safe":
 	case "keyed":
 		k.Safety = policy.Keyed
+		if c.Need("keyTtl"); k.KeyTTL <= 0 {
+			c.Fail("keyTtl", "must be above 0 where tries are tied by a key")
+		}
 	case "unsafe":
 		k.Safety = policy.Unsafe
 	default:
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -18,7 +18,7 @@
 	mostOpen    = 4096    // open requests; the module bounds them by memory long before
 	ledgerPause = 1000.0  // advice where the record of effects can't be kept, in milliseconds
 	earliest    = 1       // the module takes a Left of 0 for 'not told', so what is overdue gets this
-	mostBegun   = 1 << 16 // ids remembered by the ledger in memory
+	keyedRoom   = 8 << 20 // bytes for the tries of keyed classes and their results, where nobody says how many
 )
 
 // Core owns the module's instance. One goroutine, Run, calls the module; lives and fronts tell it what
@@ -83,11 +83,11 @@
 func New(clk *clock.Clock, log zerolog.Logger, set policy.Settings, seed uint64, runner Runner, below Below, ledger Ledger) *Core {
 	c := &Core{clock: clk, log: log, tick: clock.Millis(set.Tick), seed: seed, runner: runner, below: below,
 		ledger: ledger, inbox: mailbox.New[event](), stop: make(chan struct{}), lives: map[policy.ID]*Life{},
-		byWire: map[string]*Life{}, keys: newKeyTable(clock.Millis(set.FreshFor))}
+		byWire: map[string]*Life{}, keys: newKeyTable(clock.Millis(set.FreshFor), keyedRoom)}
 	c.counts.of = map[string]*classCount{}
 	c.adopt(set)
 	if c.ledger == nil {
-		c.ledger = newMemoryLedger(mostBegun)
+		c.ledger = newMemoryLedger(clk)
 	}
 	c.good.Store(true)
 	c.say.Store(math.Float64bits(math.NaN()))
@@ -101,6 +101,9 @@
 // To be called before Run.
 func (c *Core) Divide(share func() float64) { c.share = share }
 
+// Room sets how many bytes the tries of keyed classes and their results may take. To be called before Run.
+func (c *Core) Room(bytes int) { c.keys.room = bytes }
+
 // Below is what was used below of late, in calls in hand; 0 where nothing divides.
 func (c *Core) Below() float64 { return math.Float64frombits(c.used.Load()) }
 
@@ -265,7 +268,9 @@
 			c.events = append(c.events, policy.DrainNotice{Left: clock.Duration(max(e.drain-now, 0))})
 		case e.event != nil:
 			c.start(now, false) // nothing comes before the runner is up, but if it does it must be answered
-			c.events = append(c.events, c.translate(now, e))
+			if ev := c.translate(now, e); ev != nil {
+				c.events = append(c.events, ev)
+			}
 		}
 	}
 	if c.module == nil {
@@ -298,6 +303,7 @@
 		c.act(now, a)
 	}
 	c.events = c.events[:0]
+	clear(c.keys.claims)
 }
 
 func (c *Core) start(now float64, cold bool) {
@@ -314,7 +320,7 @@
 	c.log.Info().Bool("cold", set.JustStarted).Msg("module started")
 }
 
-// translate completes an event with what only the owner knows.
+// translate completes an event with what only the owner knows; nil: the module is not to hear of it.
 func (c *Core) translate(now float64, e event) policy.Event {
 	switch ev := e.event.(type) {
 	case policy.Arrived:
@@ -325,13 +331,24 @@
 			l.due = q.At + clock.Millis(l.class.Deadline)
 		}
 		ev.Class, ev.Caller, ev.KB, ev.Rank, ev.Key, ev.Resent = q.Class, q.From, q.KB, q.Rank, q.Key, q.Retry
+		ev.Tenant, ev.Size = q.For, clock.Duration(q.Cost)
 		ev.Waited = clock.Duration(max(now-q.At, 0))
-		if q.Wait > 0 {
-			ev.Left = max(clock.Duration(q.At+q.Wait-now), earliest)
-		}
 		ev.Write = l.class.Safety != policy.Safe
-		if !ev.Write && q.Key != "" {
-			ev.Original, ev.Repeats = c.keys.original(q, now)
+		if l.class.Safety == policy.Keyed {
+			// No longer than its client waits in all: so long its other tries are remembered past the window.
+			l.due = min(l.due, q.At+clock.Millis(l.class.Deadline))
+			var same bool
+			if ev.Original, ev.Repeats, same = c.keys.try(l); q.Once == "" || !same {
+				c.log.Debug().Str("id", q.ID).Str("class", q.Class).Str("once", q.Once).
+					Msg(`field "once" is missing, or stood with another body before: failed unrun`)
+				l.box.Put(policy.Fail{})
+				return nil
+			}
+		} else {
+			ev.Original, ev.Repeats = c.keys.original(l, now)
+		}
+		if q.Wait > 0 {
+			ev.Left = max(clock.Duration(l.due-now), earliest)
 		}
 		return ev
 	case policy.Finished:
@@ -347,12 +364,16 @@
 	case policy.Start:
 		if l := c.life(a.ID); l != nil {
 			l.begun = true
-			l.box.Put(a)
+			if l.unkept {
+				l.box.Put(full{})
+			} else {
+				l.box.Put(a)
+			}
 		}
 	case policy.ShareResult:
 		if l := c.life(a.ID); l != nil {
 			l.begun = true // its end is told by the share
-			result, ok := c.keys.result(l.req)
+			result, ok := c.keys.result(l)
 			l.box.Put(shared{ok: ok, result: result})
 		}
 	case policy.Refuse:
@@ -365,7 +386,7 @@
 		c.order(a.ID, a)
 	case policy.Remember:
 		if l := c.life(a.ID); l != nil {
-			c.keys.remember(a.ID, l.req, now+clock.Millis(a.Span))
+			l.unkept = !c.keys.remember(l, now+clock.Millis(a.Span))
 		}
 	case policy.Forget:
 		c.keys.forget(a.ID)
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -5,7 +5,7 @@
 	"errors"
 	"fmt"
 	"runtime"
-	"strings"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -145,14 +145,57 @@
 	}
 }
 
-func TestMemoryLedgerForgetsTheOldest(t *testing.T) {
-	l := newMemoryLedger(2)
-	for i, want := range []bool{true, true, false, true, true} {
-		id := strings.Repeat([]string{"a", "b", "a", "c", "a"}[i], 16)
-		if got, _ := l.Begin(id); got != want {
-			t.Errorf("begin %d of %s: %v", i, id, got)
+// However many effects were begun, none is forgotten while a request of its id may still pass for new.
+func TestMemoryLedgerForgetsByTimeAlone(t *testing.T) {
+	clk := clock.Manual(begin)
+	l := newMemoryLedger(clk)
+	want := func(n int, want bool) {
+		t.Helper()
+		if got, err := l.Begin(fmt.Sprintf("%016x", n)); got != want || err != nil {
+			t.Errorf("begin of %d: %v, %v", n, got, err)
 		}
 	}
+	want(0, true)
+	clk.Set(begin + ledgerFor)
+	for n := 1; n <= 1<<16; n++ {
+		want(n, true)
+	}
+	want(0, false)
+	clk.Set(begin + ledgerFor + 1)
+	want(1<<17, true)
+	want(0, true)
+	want(1, false)
+	if _, err := l.Begin("none"); err == nil {
+		t.Error("an id that is none was taken")
+	}
+}
+
+// Two tries of one request come so close that the module hears of both in one call: it had not ordered to remember
+// the first by then, and both ran.
+func TestTriesThatComeTogetherRunOnce(t *testing.T) {
+	r := newRig(t, nil)
+	set := testSettings
+	set.Classes = []policy.Class{{Name: "pay", Aim: 2 * time.Second, Deadline: 5 * time.Second, Worth: 1, Safety: policy.Keyed, KeyTTL: 10 * time.Second}}
+	r.Adopt(set)
+	in, release := make(chan struct{}), make(chan struct{})
+	r.Then(func() { close(in); <-release })
+	<-in // the owner stands until both have told of themselves
+	for id := 1; id <= 3; id++ {
+		q := &Request{ID: fmt.Sprintf("%016x", id), Class: "pay", At: begin, Wait: 3000, KB: 1, Once: "ab"}
+		r.Open(q, func(o Outcome) { r.answers <- fmt.Sprintf("%d %s", o.Verdict, o.Result) })
+	}
+	for told := 0; told < 3; runtime.Gosched() {
+		told = r.inbox.Len()
+	}
+	close(release)
+	run := <-r.hand.started
+	r.end(run, "A", 1)
+	got := []string{<-r.answers, <-r.answers, <-r.answers}
+	slices.Sort(got)
+	// Tries that are held give way to the newest, which runs.
+	if fmt.Sprint(got) != fmt.Sprint([]string{"0 A", "1 ", "1 "}) || len(r.hand.started) > 0 {
+		t.Errorf("answers %q, %d more runs", got, len(r.hand.started))
+	}
 }
 
 // New settings: what was open ends as what it came as, a booking whose class went is still run once, and a class
--- a/internal/core/keys.go
+++ b/internal/core/keys.go
@@ -3,21 +3,40 @@
 import (
 	"encoding/hex"
 	"fmt"
+	"hash/maphash"
 	"sync"
 
+	"puffinsaddle/internal/clock"
 	"puffinsaddle/policy"
 )
 
-const mostKeys = 8192 // entries; the module books their memory and stays far below
+const (
+	mostKeys   = 8192    // reads that are remembered; the module books their memory and stays far below
+	mostResult = 4 << 10 // bytes of a result, by the protocol: room for one that is still to come
+	entryBytes = 512     // what an entry takes besides
 
-// keyTable ties reads of one class and key together, as the module orders, and keeps their results.
+	expireEvery = 100.0 // milliseconds
+	keyedSlack  = 100.0 // is added to a window: the callers' clock is the machine's, read a moment earlier
+	ledgerFor   = 2 * (mostOld + mostSoon)
+)
+
+// keyTable ties tries together, as the module orders, and keeps their results: reads of one class and key for as long
+// as a result is fresh, and the tries of one request of a keyed class for the whole window in which another may come.
 type keyTable struct {
-	fresh float64
-	byKey map[classKey]*entry
-	byID  map[policy.ID]*entry
+	fresh  float64
+	room   int // bytes for what is keyed
+	used   int
+	looked float64 // when what has had its time was last dropped
+	seed   maphash.Seed
+	byKey  map[classKey]*entry
+	byID   map[policy.ID]*entry
+	claims map[classKey]*entry // keyed requests of one call of the module, which has not ordered to remember them yet
 }
 
-type classKey struct{ class, key string }
+type classKey struct {
+	class, key string
+	keyed      bool
+}
 
 type entry struct {
 	id      policy.ID
@@ -27,68 +46,139 @@
 	good    bool
 	made    float64 // when the result was made, no later than it truly was
 	result  []byte
+
+	until float64 // keyed: no try that reached the machine up to then may run
+	body  uint64  // keyed: sum of the body, which all tries share
 }
 
-func newKeyTable(fresh float64) keyTable {
-	return keyTable{fresh: fresh, byKey: map[classKey]*entry{}, byID: map[policy.ID]*entry{}}
+func newKeyTable(fresh float64, room int) keyTable {
+	return keyTable{fresh: fresh, room: room, seed: maphash.MakeSeed(), byKey: map[classKey]*entry{}, byID: map[policy.ID]*entry{},
+		claims: map[classKey]*entry{}}
 }
 
-func (t *keyTable) remember(id policy.ID, q *Request, expires float64) {
-	of := classKey{q.Class, q.Key}
-	if q.Key == "" || len(t.byKey) >= mostKeys {
-		return
+// keyOf is what ties a request to others; without a key, nothing does.
+func keyOf(l *Life) (classKey, bool) {
+	if l.class.Safety == policy.Keyed {
+		return classKey{l.req.Class, l.req.Once, true}, true
 	}
+	return classKey{l.req.Class, l.req.Key, false}, l.class.Safety == policy.Safe && l.req.Key != ""
+}
+
+// size is what a keyed entry takes of the room: until its end, as much as its result may.
+func (e *entry) size() int {
+	if e.ended {
+		return entryBytes + len(e.result)
+	}
+	return entryBytes + mostResult
+}
+
+// remember keeps an entry; false: there is no room, so what is keyed must not begin.
+func (t *keyTable) remember(l *Life, expires float64) bool {
+	of, tied := keyOf(l)
+	if !tied {
+		return true
+	}
+	e := &entry{id: l.id, of: of, expires: expires}
 	if old := t.byKey[of]; old != nil {
-		delete(t.byID, old.id)
+		t.forget(old.id)
+	}
+	if of.keyed {
+		window, deadline := clock.Millis(l.class.KeyTTL), clock.Millis(l.class.Deadline)
+		e.until, e.body = l.req.At+window+keyedSlack, maphash.Bytes(t.seed, l.req.Body)
+		// A try that reached the machine within the window may be read up to its deadline later.
+		e.expires = e.until + deadline + keyedSlack
+		if t.used+e.size() > t.room {
+			return false
+		}
+		t.used += e.size()
+	} else if len(t.byKey) >= mostKeys {
+		return true
 	}
-	e := &entry{id: id, of: of, expires: expires}
-	t.byKey[of], t.byID[id] = e, e
+	t.byKey[of], t.byID[l.id] = e, e
+	return true
 }
 
 func (t *keyTable) forget(id policy.ID) {
 	if e := t.byID[id]; e != nil {
 		delete(t.byID, id)
 		delete(t.byKey, e.of)
+		if e.of.keyed {
+			t.used -= e.size()
+		}
 	}
 }
 
-// usable tells whether a read that reached the machine at a given time may have the entry's result. The age
+// usable tells whether a request that reached the machine at a given time may have the entry's result. The age
 // of a result counts to the arrival of the read, not to the moment at which we look.
 func (t *keyTable) usable(e *entry, at float64) bool {
+	if e.of.keyed {
+		return !e.ended || e.good
+	}
 	return !e.ended || e.good && at <= e.made+t.fresh
 }
 
 // original names the remembered read that this one repeats.
-func (t *keyTable) original(q *Request, now float64) (policy.ID, bool) {
-	e := t.byKey[classKey{q.Class, q.Key}]
-	if e == nil || now >= e.expires || !t.usable(e, q.At) {
+func (t *keyTable) original(l *Life, now float64) (policy.ID, bool) {
+	of, tied := keyOf(l)
+	e := t.byKey[of]
+	if !tied || e == nil || now >= e.expires || !t.usable(e, l.req.At) {
 		return 0, false
 	}
 	return e.id, true
 }
 
-// ended keeps the result of a remembered run.
+// try names the try of a keyed request that this one repeats, held, running or over. Of those that the module hears
+// of in one call, the first stands for the others. False: another body came under the same key, so it is no try of
+// the same request.
+func (t *keyTable) try(l *Life) (first policy.ID, repeats, same bool) {
+	of, _ := keyOf(l)
+	body := maphash.Bytes(t.seed, l.req.Body)
+	e := t.byKey[of]
+	if e == nil || l.req.At > e.until {
+		if e = t.claims[of]; e == nil {
+			t.claims[of] = &entry{id: l.id, body: body}
+			return 0, false, true
+		}
+	}
+	return e.id, true, e.body == body
+}
+
+// ended keeps the result of a remembered run. One of which nothing ran ties no other try to it.
 func (t *keyTable) ended(f policy.Finished, n Notice) {
 	e := t.byID[f.ID]
 	if e == nil || e.ended {
 		return
 	}
+	if e.of.keyed {
+		if f.Outcome == policy.Moot {
+			t.forget(f.ID)
+			return
+		}
+		t.used -= e.size()
+		defer func() { t.used += e.size() }()
+	}
 	e.ended, e.good, e.made = true, f.Outcome == policy.OK && n.Ended, n.Made
 	if e.good {
 		e.result = append([]byte(nil), n.Body...)
 	}
 }
 
-// result is what a read may share.
-func (t *keyTable) result(q *Request) ([]byte, bool) {
-	e := t.byKey[classKey{q.Class, q.Key}]
-	if e == nil || !e.ended || !t.usable(e, q.At) {
+// result is what a request may share.
+func (t *keyTable) result(l *Life) ([]byte, bool) {
+	of, tied := keyOf(l)
+	e := t.byKey[of]
+	if !tied || e == nil || !e.ended || !t.usable(e, l.req.At) {
 		return nil, false
 	}
 	return e.result, true
 }
 
+// expire drops what has had its time. A look at all of them is not for every call of the module.
 func (t *keyTable) expire(now float64) {
+	if now >= t.looked && now < t.looked+expireEvery {
+		return
+	}
+	t.looked = now
 	for id, e := range t.byID {
 		if now >= e.expires {
 			t.forget(id)
@@ -96,20 +186,25 @@
 	}
 }
 
-// memoryLedger remembers the effects begun in this life of the process, the newest so many of them. It grows
-// with what it holds, and keeps no id as text: a piece of a message would keep the whole of it.
+// memoryLedger remembers the effects begun in this life of the process: each for as long as a request with its id can
+// come again and pass for new, by its own figures. It grows with what it holds, and keeps no id as text: a piece of a
+// message would keep the whole of it.
 type memoryLedger struct {
 	mu    sync.Mutex
-	most  int
+	clock *clock.Clock
 	begun map[effect]struct{}
-	ring  []effect
-	next  int
+	line  []begunAt // oldest first
 }
 
 type effect [8]byte
 
-func newMemoryLedger(most int) *memoryLedger {
-	return &memoryLedger{most: most, begun: map[effect]struct{}{}}
+type begunAt struct {
+	effect effect
+	at     float64
+}
+
+func newMemoryLedger(clk *clock.Clock) *memoryLedger {
+	return &memoryLedger{clock: clk, begun: map[effect]struct{}{}}
 }
 
 func (m *memoryLedger) Begin(id string) (bool, error) {
@@ -122,13 +217,12 @@
 	if _, was := m.begun[e]; was {
 		return false, nil
 	}
-	if len(m.ring) < m.most {
-		m.ring = append(m.ring, e)
-	} else {
-		delete(m.begun, m.ring[m.next])
-		m.ring[m.next] = e
-		m.next = (m.next + 1) % m.most
+	now := m.clock.Now()
+	for len(m.line) > 0 && m.line[0].at < now-ledgerFor {
+		delete(m.begun, m.line[0].effect)
+		m.line = m.line[1:]
 	}
+	m.line = append(m.line, begunAt{e, now})
 	m.begun[e] = struct{}{}
 	return true, nil
 }
--- a/internal/core/life.go
+++ b/internal/core/life.go
@@ -26,13 +26,15 @@
 	counted  bool // it was taken, and so is active until it ends
 	ended    atomic.Bool
 	begun    bool // the owner's: a Start was ordered
+	unkept   bool // the owner's: of a keyed class, and there is no room to remember it
 	goneOnce sync.Once
 }
 
 type (
 	callerGone struct{}
 	dismissed  struct{} // the module closed the books on a request that it never started
-	shared     struct { // a result of the same read
+	full       struct{} // it was to start, and could not be remembered
+	shared     struct { // a result of the same read, or of another try
 		ok     bool
 		result []byte
 	}
@@ -123,6 +125,12 @@
 			c.tell(l, policy.CallerGone{ID: l.id})
 		case dismissed:
 			return
+		case full:
+			// A further try would not be known for one, and run again. Safety before service.
+			c.log.Warn().Str("id", l.req.ID).Str("class", l.req.Class).Msg("no room to remember its tries, so not run")
+			l.answer(Outcome{Verdict: Refused, After: ledgerPause})
+			c.tell(l, policy.Finished{ID: l.id, Outcome: policy.Moot})
+			return
 		case policy.Start:
 			if gone { // the module had not heard it yet; nothing was begun
 				c.tell(l, policy.Finished{ID: l.id, Outcome: policy.Moot})
--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"strings"
 
 	"puffinsaddle/policy"
 )
@@ -19,14 +20,19 @@
 	Retry bool    // known to be a further try
 	KB    float64 // memory booked while it is held
 	Rank  float64
-	Key   string // what a read is about; empty: not told
+	Key   string  // what a read is about; empty: not told
+	Once  string  // in keyed classes: the same for all tries of one request; empty: not told
+	For   string  // the tenant; empty: not told
+	Cost  float64 // the work to expect, in milliseconds on one core; 0: not told
 	Body  []byte
 }
 
 // What the figures of a request may be at most.
 const (
 	mostKB   = 2000.0 // by the protocol
-	mostKey  = 256    // bytes; the protocol's keys have 16
+	mostKey  = 256    // bytes of a key, or of a tenant's name; the protocol's keys have 16
+	mostOnce = 64     // hexadecimal digits; the protocol's have 32
+	mostCost = 600e3  // milliseconds of work
 	mostWait = 600e3  // milliseconds that a caller may wait; classes have seconds
 	mostOld  = 60e3   // and that a request may have been under way
 	mostSoon = 1e3    // the caller's clock is the machine's, and can't be further ahead
@@ -50,6 +56,12 @@
 		return errors.New("from is out of range")
 	case len(q.Key) > mostKey:
 		return errors.New("key is too long")
+	case len(q.For) > mostKey:
+		return errors.New("tenant is too long")
+	case !within(q.Cost, 0, mostCost):
+		return errors.New("cost is out of range")
+	case len(q.Once) > mostOnce || strings.Trim(q.Once, "0123456789abcdefABCDEF") != "":
+		return errors.New("once is not of hexadecimal digits")
 	}
 	return nil
 }
--- a/internal/mailbox/mailbox.go
+++ b/internal/mailbox/mailbox.go
@@ -31,6 +31,13 @@
 	}
 }
 
+// Len is how many messages lie in it.
+func (b *Box[T]) Len() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.items)
+}
+
 // Take empties the box into buf.
 func (b *Box[T]) Take(buf []T) []T {
 	b.mu.Lock()
--- a/internal/net/peers_test.go
+++ b/internal/net/peers_test.go
@@ -60,7 +60,11 @@
 }
 
 func build(t *testing.T, runner core.Runner, below core.Below, set config.UWSGI, hand func(*core.Core)) *house {
-	clk := clock.System()
+	return buildBy(t, clock.System(), settings, runner, below, set, hand)
+}
+
+// buildBy builds a house by a clock and settings of the test's own.
+func buildBy(t *testing.T, clk *clock.Clock, settings policy.Settings, runner core.Runner, below core.Below, set config.UWSGI, hand func(*core.Core)) *house {
 	c := core.New(clk, zerolog.Nop(), settings, 1, runner, below, nil)
 	if hand != nil {
 		hand(c)
@@ -86,14 +90,30 @@
 
 // withExecutor builds a house that has a scripted executor.
 func withExecutor(t *testing.T, x *executorPeer, vaultAt string, change ...func(*executor.Link)) *house {
+	return withExecutorBy(t, clock.System(), settings, x, vaultAt, change...)
+}
+
+// withExecutorRoom also bounds what may be kept of keyed tries, in bytes.
+func withExecutorRoom(t *testing.T, clk *clock.Clock, settings policy.Settings, x *executorPeer, room int) *house {
+	return executorHouse(t, clk, settings, x, "127.0.0.1:1", func(c *core.Core) { c.Room(room) })
+}
+
+func withExecutorBy(t *testing.T, clk *clock.Clock, settings policy.Settings, x *executorPeer, vaultAt string, change ...func(*executor.Link)) *house {
+	return executorHouse(t, clk, settings, x, vaultAt, func(*core.Core) {}, change...)
+}
+
+func executorHouse(t *testing.T, clk *clock.Clock, settings policy.Settings, x *executorPeer, vaultAt string, hand func(*core.Core), change ...func(*executor.Link)) *house {
 	var c *core.Core
 	link := executor.New(x.ln.Addr().String(), zerolog.Nop(), func(cold bool, _ float64) { c.Up(cold) })
 	link.Silent = time.Hour // the script answers only while a test asks it to
 	for _, c := range change {
 		c(link)
 	}
-	calls := vault.New(vaultAt, clock.System())
-	h := build(t, link, calls, config.UWSGI{}, func(made *core.Core) { c = made })
+	calls := vault.New(vaultAt, clk)
+	h := buildBy(t, clk, settings, link, calls, config.UWSGI{}, func(made *core.Core) {
+		c = made
+		hand(c)
+	})
 	h.link, h.vault = link, calls
 	go link.Run(t.Context())
 	return h
--- a/internal/net/respfront/codec.go
+++ b/internal/net/respfront/codec.go
@@ -59,12 +59,18 @@
 	q := &core.Request{
 		ID: strings.Clone(f["id"]), Class: string(args[2]), At: f.number("at", &err), From: int64(f.number("from", &err)),
 		Retry: f["retry"] == "1", KB: f.number("kb", &err), Rank: f.number("rank", &err), Key: strings.Clone(f["key"]),
+		Once: strings.Clone(f["once"]), For: strings.Clone(f["tenant"]),
 	}
-	if _, told := f["wait"]; told {
-		if q.Wait = f.number("wait", &err); q.Wait == 0 && err == nil {
-			err = fmt.Errorf("%w: field %q", errValue, "wait")
+	for key, to := range map[string]*float64{"wait": &q.Wait, "cost": &q.Cost} { // may be absent, and are above 0
+		if _, told := f[key]; told {
+			if *to = f.number(key, &err); *to == 0 && err == nil {
+				err = fmt.Errorf("%w: field %q", errValue, key)
+			}
 		}
 	}
+	if _, told := f["once"]; told && q.Once == "" && err == nil {
+		err = fmt.Errorf("%w: field %q", errValue, "once")
+	}
 	if e := q.Check(now); e != nil && err == nil {
 		err = fmt.Errorf("%w: %w", errValue, e)
 	}
--- a/internal/net/uwsgi/codec.go
+++ b/internal/net/uwsgi/codec.go
@@ -27,6 +27,9 @@
 	varKey   = "ORDER_KEY"   // what a read is about
 	varKB    = "ORDER_KB"    // memory booked while it is held
 	varRank  = "ORDER_RANK"
+	varOnce  = "ORDER_ONCE"   // in keyed classes: the same for all tries of one request
+	varFor   = "ORDER_TENANT" // the tenant
+	varCost  = "ORDER_COST"   // the work to expect, in milliseconds on one core
 )
 
 // mostVars is the largest size that the header can tell.
--- a/internal/net/uwsgi/front.go
+++ b/internal/net/uwsgi/front.go
@@ -179,7 +179,7 @@
 func (f *Front) request(p *packet, reached float64) (*core.Request, error) {
 	v := p.vars
 	q := &core.Request{ID: v[varID], Class: v[varClass], At: reached, Retry: v[varRetry] == "1", KB: f.set.KB,
-		Rank: midRank, Key: v[varKey], Body: p.body}
+		Rank: midRank, Key: v[varKey], Once: v[varOnce], For: v[varFor], Body: p.body}
 	if q.Class == "" {
 		at := v["PATH_INFO"]
 		if at == "" {
@@ -198,7 +198,7 @@
 	for _, n := range []struct {
 		name string
 		to   *float64
-	}{{varAt, &q.At}, {varWait, &q.Wait}, {varFrom, &from}, {varKB, &q.KB}, {varRank, &q.Rank}} {
+	}{{varAt, &q.At}, {varWait, &q.Wait}, {varFrom, &from}, {varKB, &q.KB}, {varRank, &q.Rank}, {varCost, &q.Cost}} {
 		s := v[n.name]
 		if s == "" {
 			continue
