--- a/internal/core/drain.go
+++ b/internal/core/drain.go
@@ -9,6 +9,7 @@
 const (
 	shutMs    = 250.0 // before the stop, listeners close: what comes later could not be answered
 	leaveMs   = 25.0  // and the process ends so long before
+	calmMs    = 125.0 // or once nothing came for so long; what crosses an asking does so within 50
 	lookEvery = 5 * time.Millisecond
 
 	yieldLeast = 1000.0 // a process that was replaced stays so long for requests that crossed its asking
@@ -38,10 +39,7 @@
 	for _, f := range fronts {
 		f.Shut()
 	}
-	for c.clock.Now() < stopAt-leaveMs && !c.done(fronts) {
-		time.Sleep(lookEvery)
-	}
-	c.sleepUntil(min(c.clock.Now()+shutMs/2, stopAt-leaveMs)) // for requests that crossed the asking
+	c.calm(stopAt-leaveMs, 0, fronts)
 	c.log.Info().Int("owed", c.Owed()).Msg("leaving")
 	for _, f := range fronts {
 		f.Close()
@@ -59,9 +57,7 @@
 	for _, f := range fronts {
 		f.Yield()
 	}
-	for c.clock.Now() < stopAt-leaveMs && (c.clock.Now() < begun+yieldLeast || !c.done(fronts)) {
-		time.Sleep(lookEvery)
-	}
+	c.calm(stopAt-leaveMs, begun+yieldLeast, fronts)
 	c.log.Info().Int("owed", c.Owed()).Msg("leaving to the successor")
 	for _, f := range fronts {
 		f.Shut()
@@ -69,6 +65,20 @@
 	}
 }
 
+// calm waits, to that time at most, until nothing was owed, unread or unwritten for a while after the other time: what
+// crossed the asking may come in that while, and is then owed its answer like all before it.
+func (c *Core) calm(last, first float64, fronts []Front) {
+	since := c.clock.Now()
+	for now := since; now < last; now = c.clock.Now() {
+		if !c.done(fronts) { // looked at last of all: the time may have jumped
+			since = now
+		} else if now >= first && now-since >= calmMs {
+			return
+		}
+		time.Sleep(lookEvery)
+	}
+}
+
 func (c *Core) done(fronts []Front) bool {
 	for _, f := range fronts {
 		if !f.Flushed() {
--- a/internal/core/life.go
+++ b/internal/core/life.go
@@ -33,6 +33,7 @@
 type (
 	callerGone struct{}
 	dismissed  struct{} // the module closed the books on a request that it never started
+	spurned    struct{} // it is not to be begun
 	full       struct{} // it was to start, and could not be remembered
 	shared     struct { // a result of the same read, or of another try
 		ok     bool
@@ -54,6 +55,9 @@
 	})
 }
 
+// Spurn fails a request that was not begun: those that came with it are nobody's. One that runs goes on.
+func (l *Life) Spurn() { l.box.Put(spurned{}) }
+
 // end takes the request out of the active ones: it has its answer, or nobody waits for one.
 func (l *Life) end() {
 	if l.counted && !l.ended.Swap(true) {
@@ -120,6 +124,9 @@
 			}
 			c.tell(l, policy.Finished{ID: l.id, Outcome: outcome})
 			return
+		case spurned:
+			l.answer(Outcome{Verdict: Failed})
+			l.box.Put(callerGone{})
 		case callerGone:
 			gone = true
 			c.tell(l, policy.CallerGone{ID: l.id})
--- a/internal/net/members/members.go
+++ b/internal/net/members/members.go
@@ -55,7 +55,7 @@
 }
 
 // Run reports until the context ends; nowhere while the address is empty. The service may be down; then a
-// report is lost, and the next one is sent on a new socket, since the refusal may stick to the old.
+// report is lost.
 func (r *Reporter) Run(ctx context.Context) {
 	var conn net.Conn
 	var at string
@@ -74,13 +74,19 @@
 			drop()
 			at = address
 		}
-		if conn == nil && at != "" {
-			conn, _ = net.Dial("udp", at)
-		}
-		if conn != nil {
-			if _, err := conn.Write([]byte(report)); err != nil {
-				drop()
+		// A refusal of an earlier report sticks to the socket and shows at the next one, which then was not sent: it
+		// goes out again at once on a new socket, so that a service that comes back hears the first one after that.
+		for try := 0; try < 2 && at != ""; try++ {
+			if conn == nil {
+				if conn, _ = net.Dial("udp", at); conn == nil {
+					break
+				}
 			}
+			conn.SetWriteDeadline(time.Now().Add(every)) // reports must not fall behind a full queue
+			if _, err := conn.Write([]byte(report)); err == nil {
+				break
+			}
+			drop()
 		}
 		select {
 		case <-ctx.Done():
--- a/internal/net/respfront/front.go
+++ b/internal/net/respfront/front.go
@@ -16,6 +16,7 @@
 	"strconv"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -70,6 +71,11 @@
 
 func (f *Front) welcome(nc net.Conn) {
 	c := &conn{front: f, nc: nc, open: map[uint64]*core.Life{}, kick: make(chan struct{}, 1), used: f.clock.Now(), since: time.Now()}
+	var err error
+	if c.raw, err = nc.(*net.TCPConn).SyscallConn(); err != nil {
+		nc.Close() // it is closed already
+		return
+	}
 	f.mu.Lock()
 	if len(f.conns) >= f.most && !f.makeRoom() {
 		f.mu.Unlock()
@@ -99,16 +105,34 @@
 }
 
 // end closes a connection with nothing open. What has just come on it would be a request cut off, so then it
-// is left alone. The front's lock is held.
+// is left alone: bytes still in the socket, a part of a command that was read, or a whole one that is being taken. Its
+// lock is held from the first look to the decision, after which nothing more is taken; the reader takes bytes from the
+// socket under the same lock, so a command is seen in one of these places. One that crosses the close on the wire is
+// sent once more by who sent it. The front's lock is held.
 func (f *Front) end(c *conn) bool {
-	if !accept.Quiet(c.nc) {
+	if !c.giveUp() {
 		return false
 	}
+	c.nc.Close() // not under its lock, for which the reader may wait
+	delete(f.conns, c)
+	return true
+}
+
+// giveUp takes nothing more from a connection on which nothing is open.
+func (c *conn) giveUp() bool {
 	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.within || len(c.open) > 0 || c.writing || len(c.out) > 0 || !accept.Quiet(c.nc) {
+		return false
+	}
 	c.broken = true
-	c.mu.Unlock()
-	c.nc.Close()
-	delete(f.conns, c)
+	if c.spoke && !c.told {
+		c.told = true
+		c.raw.Write(func(fd uintptr) bool { // nothing waits before it, so there is room; else it goes without
+			syscall.Write(int(fd), appendClosing(nil))
+			return true
+		})
+	}
 	return true
 }
 
@@ -132,12 +156,12 @@
 	f.Drain()
 }
 
-// Flushed tells that all answers are written.
+// Flushed tells that all answers are written, and that nothing lies unread.
 func (f *Front) Flushed() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for c := range f.conns {
-		if c.unsent() {
+		if c.unsettled() {
 			return false
 		}
 	}
@@ -194,16 +218,17 @@
 type conn struct {
 	front *Front
 	nc    net.Conn
+	raw   syscall.RawConn
 	kick  chan struct{}
 
 	// The reader's own.
-	within bool      // a part of a command was read
 	since  time.Time // when the command that is being read began, or the waiting for the first
 	faults int
 
-	stop atomic.Bool // a forged request came
+	forged atomic.Bool // a request came that the executor does not know, before any was served
 
 	mu      sync.Mutex
+	within  bool // a part of a command was read, or a whole one is being taken; only the reader sets it
 	open    map[uint64]*core.Life
 	out     []byte
 	writing bool
@@ -216,9 +241,8 @@
 	used    float64 // when a command or an answer last passed
 }
 
-// errForged ends a connection on which nothing was served and a request came that nobody made: its other
-// requests are as false, and would take the room of true ones.
-var errForged = errors.New("a request that the executor does not know")
+// errFaults ends the reading of a connection. What was read before is owed its answer all the same.
+var errFaults = errors.New("too many requests that make no sense")
 
 // Read bounds for how long a command may be on its way.
 func (c *conn) Read(b []byte) (int, error) {
@@ -230,17 +254,34 @@
 		limit = c.since.Add(wholeFor)
 	}
 	c.nc.SetReadDeadline(limit)
-	if c.stop.Load() {
-		return 0, errForged
-	}
-	n, err := c.nc.Read(b)
-	if err != nil && c.stop.Load() {
-		err = errForged
-	}
-	if !c.within && c.spoke {
+	within := c.within
+	n, err := c.take(b)
+	if !within && c.spoke {
 		c.since = time.Now()
 	}
-	c.within = true
+	return n, err
+}
+
+// take reads what there is. That bytes were taken out of the socket is noted in the same step.
+func (c *conn) take(b []byte) (n int, err error) {
+	closed := c.raw.Read(func(fd uintptr) bool {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		if c.broken {
+			n, err = 0, net.ErrClosed
+			return true
+		}
+		for n, err = syscall.Read(int(fd), b); err == syscall.EINTR; n, err = syscall.Read(int(fd), b) {
+		}
+		c.within = c.within || n > 0
+		return err != syscall.EAGAIN
+	})
+	switch n = max(n, 0); {
+	case closed != nil:
+		return 0, closed
+	case n == 0 && err == nil:
+		return 0, io.EOF
+	}
 	return n, err
 }
 
@@ -250,10 +291,11 @@
 	c.mu.Lock()
 	c.ended = true
 	var left []*core.Life
-	if err != io.EOF && !errors.Is(err, os.ErrDeadlineExceeded) {
+	c.within = false
+	if err != io.EOF && !errors.Is(err, os.ErrDeadlineExceeded) && err != errFaults {
 		// Broken, or not understood: nobody reads answers here any more. After a plain end the router may
-		// still do so, and an answer that nobody wants does no harm. The same holds where a command got stuck:
-		// what was read before it is owed its answer, and the connection ends after that.
+		// still do so, and an answer that nobody wants does no harm. The same holds where a command got stuck, or
+		// too many made no sense: what was read before is owed its answer, and the connection ends after that.
 		c.broken = true
 		for tag, l := range c.open {
 			left = append(left, l)
@@ -278,7 +320,9 @@
 	}()
 	r := bufio.NewReaderSize(c, 4096)
 	for {
+		c.mu.Lock()
 		c.within = r.Buffered() > 0
+		c.mu.Unlock()
 		c.since = time.Now()
 		if err := c.next(r); err != nil {
 			return err
@@ -353,6 +397,9 @@
 	if err != nil {
 		return err
 	}
+	if c.forged.Load() { // guards against a flood of them, which would take the room of true ones
+		return c.fault(tag, errFaults)
+	}
 	q.Body = pool.Copy(q.Body) // the arguments are redcon's
 	c.mu.Lock()
 	_, twice := c.open[tag]
@@ -383,9 +430,12 @@
 	c.mu.Lock()
 	_, twice := c.open[tag]
 	c.mu.Unlock()
-	if c.faults++; twice || c.faults > mostFaults {
+	if twice {
 		return err
 	}
+	if c.faults++; c.faults > mostFaults {
+		return errFaults
+	}
 	c.answer(tag, core.Outcome{Verdict: core.Failed})
 	rested := make(chan struct{})
 	c.front.clock.After(faultPause, func() { close(rested) })
@@ -403,8 +453,19 @@
 		o.Forged = o.Forged && !c.served
 		return appendAnswer(b, tag, say, says, o)
 	})
-	if o.Forged && !c.stop.Swap(true) {
-		c.nc.SetReadDeadline(time.Unix(1, 0)) // wakes the reader, which ends the connection
+	if o.Forged && !c.forged.Swap(true) {
+		// What came beside it is most likely as false: it fails, but for what runs already.
+		c.mu.Lock()
+		var beside []*core.Life
+		for _, l := range c.open {
+			if l != nil {
+				beside = append(beside, l)
+			}
+		}
+		c.mu.Unlock()
+		for _, l := range beside {
+			l.Spurn()
+		}
 	}
 }
 
@@ -412,13 +473,14 @@
 func (c *conn) send(add func([]byte) []byte) {
 	c.mu.Lock()
 	c.out = add(c.out)
-	if c.broken {
+	full := !c.broken && len(c.out) > mostUnsent
+	if c.broken = c.broken || full; c.broken {
 		c.out = nil
-	} else if len(c.out) > mostUnsent {
-		c.broken = true
-		c.nc.Close() // it does not read its answers
 	}
 	c.mu.Unlock()
+	if full {
+		c.nc.Close() // it does not read its answers
+	}
 	c.wake()
 }
 
@@ -445,7 +507,7 @@
 func (c *conn) idleSince(ms float64) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return len(c.open) == 0 && !c.writing && len(c.out) == 0 && c.used <= ms
+	return len(c.open) == 0 && !c.within && !c.writing && len(c.out) == 0 && c.used <= ms
 }
 
 func (c *conn) wasTold(ms float64) bool {
@@ -470,10 +532,10 @@
 	return c.spoke, c.used
 }
 
-func (c *conn) unsent() bool {
+func (c *conn) unsettled() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return !c.broken && (c.writing || len(c.out) > 0)
+	return !c.broken && (c.writing || len(c.out) > 0 || !c.ended && (c.within || !accept.Quiet(c.nc)))
 }
 
 // write sends what is queued, and closes the connection when nothing more can come.
