Send no reply to a call twice: the second could answer the run's next call

Seen by reading: PROTOCOL numbers no RETURN, and Link kept each one until a notice of its run came, so after every break of the link all replies handed over since the run's last notice went out again (executor.metered, the loop that sent r.command). Where the first had arrived and the run stood at its next call by then, the second was taken for the reply to that: a reply of one call in another. Ruled out: EXEC (nothing happens for what runs) and BYPASS (it names its call) may be sent again; the fence, since it shows notices and a run between two calls has none.

Change: a METER goes out behind each reply. Commands are read in their order, so its answer shows that the reply arrived, and nothing is sent again. Where the link broke before it, a BYPASS leaves out the call of that number, and where a class can't do without its call the request fails at once: safety before service, and the log says so. The link's log tells state and age at each WELCOME.

--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -22,12 +22,12 @@
 // hand is a Runner whose runs the test ends by hand.
 type hand struct{ started chan *Attempt }
 
-func (h *hand) Start(a *Attempt)         { h.started <- a }
-func (h *hand) Return(*Attempt, []byte)  {}
-func (h *hand) Skip(*Attempt, uint64)    {}
-func (h *hand) Drop(*Attempt)            {}
-func (h *hand) Meter(func([]float64))    {}
-func (h *hand) Diagnose(func(bool)) bool { return false }
+func (h *hand) Start(a *Attempt)                { h.started <- a }
+func (h *hand) Return(*Attempt, uint64, []byte) {}
+func (h *hand) Skip(*Attempt, uint64)           {}
+func (h *hand) Drop(*Attempt)                   {}
+func (h *hand) Meter(func([]float64))           {}
+func (h *hand) Diagnose(func(bool)) bool        { return false }
 func (h *hand) Call(context.Context, string, float64, []byte) (policy.Outcome, []byte) {
 	return policy.Unreached, nil
 }
--- a/internal/core/life.go
+++ b/internal/core/life.go
@@ -154,7 +154,7 @@
 				c.tell(l, policy.Finished{ID: l.id, Outcome: policy.Moot})
 				return
 			}
-			run = &Attempt{Request: l.req, Due: l.due, Notify: func(n Notice) { l.box.Put(n) }}
+			run = &Attempt{Request: l.req, Due: l.due, Skippable: l.class.SkipWorth > 0, Notify: func(n Notice) { l.box.Put(n) }}
 			begun = c.clock.Now() // before the start, so that no result looks fresher than it is
 			c.counts.tries.Add(1)
 			c.runner.Start(run)
@@ -170,6 +170,10 @@
 	for {
 		switch m := l.box.Next().(type) {
 		case Notice:
+			if m.Lost {
+				l.fail() // the run goes on, or ends at its call now that nobody waits for it
+				continue
+			}
 			if !m.Ended {
 				pool.Put(at.Body)
 				at = m
@@ -204,7 +208,7 @@
 				continue
 			}
 			if m.outcome == policy.OK {
-				c.runner.Return(run, m.body)
+				c.runner.Return(run, at.N, m.body)
 			}
 			pool.Put(m.body)
 			c.tell(l, policy.CallReturned{ID: l.id, Outcome: m.outcome, Took: clock.Duration(m.took)})
--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -92,6 +92,8 @@
 	Request *Request
 	Due     float64 // when the answer is due, in Unix milliseconds
 	Notify  func(Notice)
+
+	Skippable bool // its calls may be left out
 }
 
 // Notice is what a Runner tells of an attempt. Exactly one with Ended set comes last.
@@ -102,17 +104,18 @@
 	Took    float64        // milliseconds that it ran
 	Made    float64        // when the result was made, in Unix milliseconds, no later than it truly was
 	Forged  bool           // nothing ran: the Runner knows of no such request
+	Lost    bool           // nobody can tell whether the reply to its call arrived, so it may stand there for good
 	Body    []byte         // the result, or what to call with; the life that is told owns it
 }
 
 // Runner does the work of requests. No method blocks.
 type Runner interface {
 	Start(*Attempt)
-	Return(*Attempt, []byte)       // the reply to the call that the run stands at; copied
-	Skip(*Attempt, uint64)         // go on without the call of that notice
-	Drop(*Attempt)                 // nobody waits for it any more
-	Meter(func(gauges []float64))  // calls back once the gauges are read, or never
-	Diagnose(func(good bool)) bool // a deep check; false: there is no telling now
+	Return(*Attempt, uint64, []byte) // the reply to the call of that notice, at which the run stands; copied
+	Skip(*Attempt, uint64)           // go on without the call of that notice
+	Drop(*Attempt)                   // nobody waits for it any more
+	Meter(func(gauges []float64))    // calls back once the gauges are read, or never
+	Diagnose(func(good bool)) bool   // a deep check; false: there is no telling now
 }
 
 // Below answers the calls that runs stand at. Call gives up when its context ends.
--- a/internal/net/executor/executor.go
+++ b/internal/net/executor/executor.go
@@ -50,6 +50,7 @@
 	last    uint64 // the last notice that was read
 	seq     uint64
 	runs    map[string]*run
+	acks    map[string]*run // by tag of the METER behind a reply that was handed to it
 	meters  map[string]func([]float64)
 	checks  map[string]func(bool)
 }
@@ -58,13 +59,16 @@
 type run struct {
 	attempt *core.Attempt
 	seq     uint64
-	command []byte // the last command, until a notice shows that it arrived
+	command []byte // the last command, until a notice shows that it arrived, or the answer to a later one does
+	sent    bool   // it went out on a link, maybe one that broke
+	call    uint64 // it is the reply to the call of this notice; 0: it is none
+	ack     string // tag of the METER that went out behind it
 }
 
 // New makes a link; up is called at each WELCOME.
 func New(address string, log zerolog.Logger, up func(cold bool, ageMs float64)) *Link {
 	return &Link{Silent: silentFor, address: address, leave: func() {}, log: log, up: up, kick: make(chan struct{}, 1), runs: map[string]*run{},
-		meters: map[string]func([]float64){}, checks: map[string]func(bool){}}
+		acks: map[string]*run{}, meters: map[string]func([]float64){}, checks: map[string]func(bool){}}
 }
 
 // Move takes the link to a new address of the same executor: runs and the numbers of notices go on, and what
@@ -108,6 +112,7 @@
 	l.mu.Lock()
 	l.conn, l.ready, l.fence = conn, false, ""
 	l.out = append(l.out[:0], fmt.Sprintf("JOIN %d\r\n", l.last)...)
+	clear(l.acks)
 	clear(l.meters) // asked on a link that is gone; nothing waits for them
 	l.mu.Unlock()
 	done := make(chan struct{})
@@ -171,19 +176,47 @@
 }
 
 // command gives a run's command, and keeps it until a notice shows that it arrived.
-func (l *Link) command(id string, b []byte) {
+func (l *Link) command(id string, call uint64, b []byte) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	r := l.runs[id]
 	if r == nil {
 		return
 	}
-	r.command = b
+	r.command, r.call, r.sent = b, call, false
 	if l.ready {
-		l.send(b)
+		l.give(r)
 	}
 }
 
+// give sends a run's command, and behind a reply to a call a METER: commands are read in their order, so its answer
+// shows that the reply arrived. The lock is held.
+func (l *Link) give(r *run) {
+	r.sent = true
+	l.send(r.command)
+	if r.call > 0 {
+		l.seq++
+		r.ack = "a" + strconv.FormatUint(l.seq, 10)
+		l.acks[r.ack] = r
+		l.send([]byte("METER " + r.ack + "\r\n"))
+	}
+}
+
+// again sends what the last link may have lost; true: a reply to a call that can't be sent again, nor left out. A RETURN
+// names no call: a second one whose first did arrive would be taken for the reply to the run's next call. The call that
+// a BYPASS leaves out is named, so it does nothing where the reply arrived. The lock is held.
+func (l *Link) again(r *run) (lost bool) {
+	if r.sent && r.call > 0 {
+		if !r.attempt.Skippable {
+			r.command = nil
+			return true
+		}
+		r.command, r.call = fmt.Appendf(nil, "BYPASS %s %d\r\n", r.attempt.Request.ID, r.call), 0
+	}
+	l.give(r)
+	return false
+}
+
 // Start runs a request.
 func (l *Link) Start(a *core.Attempt) {
 	q := a.Request
@@ -193,18 +226,18 @@
 	l.mu.Unlock()
 	b := make([]byte, 0, len(q.Body)+len(q.Class)+40)
 	b = fmt.Appendf(b, "EXEC %s %s %d\r\n", q.ID, q.Class, len(q.Body))
-	l.command(q.ID, append(append(b, q.Body...), "\r\n"...))
+	l.command(q.ID, 0, append(append(b, q.Body...), "\r\n"...))
 }
 
 // Return hands a run the reply to its call.
-func (l *Link) Return(a *core.Attempt, reply []byte) {
+func (l *Link) Return(a *core.Attempt, notice uint64, reply []byte) {
 	b := fmt.Appendf(make([]byte, 0, len(reply)+40), "RETURN %s %d\r\n", a.Request.ID, len(reply))
-	l.command(a.Request.ID, append(append(b, reply...), "\r\n"...))
+	l.command(a.Request.ID, notice, append(append(b, reply...), "\r\n"...))
 }
 
 // Skip lets a run go on without a call.
 func (l *Link) Skip(a *core.Attempt, notice uint64) {
-	l.command(a.Request.ID, fmt.Appendf(nil, "BYPASS %s %d\r\n", a.Request.ID, notice))
+	l.command(a.Request.ID, 0, fmt.Appendf(nil, "BYPASS %s %d\r\n", a.Request.ID, notice))
 }
 
 // Drop does nothing: the executor sees for itself whose caller has gone or got an answer.
@@ -288,6 +321,7 @@
 		if err != nil {
 			return errMalformed
 		}
+		l.log.Info().Str("state", w[1]).Float64("age_ms", ms).Msg("executor link up")
 		l.up(w[1] == "booting", ms)
 		l.mu.Lock()
 		defer l.mu.Unlock()
@@ -379,6 +413,13 @@
 
 func (l *Link) metered(tag string, values []string) {
 	l.mu.Lock()
+	if r := l.acks[tag]; r != nil {
+		delete(l.acks, tag)
+		if r.ack == tag && r.call > 0 {
+			r.command = nil
+		}
+	}
+	var lost []*run
 	if tag == l.fence && !l.ready {
 		l.ready = true
 		var again []*run
@@ -389,7 +430,9 @@
 		}
 		sort.Slice(again, func(i, j int) bool { return again[i].seq < again[j].seq })
 		for _, r := range again {
-			l.send(r.command)
+			if l.again(r) {
+				lost = append(lost, r)
+			}
 		}
 		for tag := range l.checks { // a broken link is no sign of sickness: ask again
 			l.send([]byte("DIAG " + tag + "\r\n"))
@@ -398,6 +441,10 @@
 	got := l.meters[tag]
 	delete(l.meters, tag)
 	l.mu.Unlock()
+	for _, r := range lost {
+		l.log.Warn().Str("id", r.attempt.Request.ID).Msg("a reply to a call may be lost with the link, and can't be sent again: failed")
+		r.attempt.Notify(core.Notice{Lost: true})
+	}
 	if got == nil {
 		return
 	}
--- a/internal/net/peers_test.go
+++ b/internal/net/peers_test.go
@@ -142,6 +142,7 @@
 	mu   sync.Mutex
 	conn net.Conn
 	n    int
+	mute bool // METERs but for the fence's get no answer
 }
 
 func newExecutor(t *testing.T) *executorPeer {
@@ -191,6 +192,9 @@
 		select {
 		case c := <-x.cmds:
 			if c.words[0] == "METER" && !strings.HasPrefix(c.words[1], "f") {
+				if x.mute {
+					continue
+				}
 				x.say("METERS %s 0.1 0 0.1 1", c.words[1])
 				continue
 			}
@@ -229,6 +233,14 @@
 	x.say("WELCOME steady 5")
 }
 
+// rejoin is a welcome on a new link; what was still on its way over the old one is passed over.
+func (x *executorPeer) rejoin(n int) {
+	x.t.Helper()
+	for c := x.next(); c.words[0] != "JOIN"; c = x.next() {
+	}
+	x.say("WELCOME steady 5")
+}
+
 func (x *executorPeer) pass() {
 	x.t.Helper()
 	x.say("METERS %s 0.1 0 0.1 1", x.want("METER").words[1])
--- a/internal/net/rare_test.go
+++ b/internal/net/rare_test.go
@@ -4,10 +4,13 @@
 	"fmt"
 	"io"
 	"net"
+	"net/http"
+	"slices"
 	"testing"
 	"time"
 
 	"puffinsaddle/internal/clock"
+	"puffinsaddle/policy"
 )
 
 // leaving begins a drain on a clock that the test sets, and returns once new connections are refused: then only the
@@ -87,3 +90,71 @@
 	x.notice("EXIT", id(30)+" success 1", "E")
 	good.want("4", "done", "", "E")
 }
+
+// The link breaks behind a reply to a call, and the run stands at its next call by when the new link is through: a RETURN
+// names no call, so one sent again was taken for the reply to that. Where the call may be left out that is said of the
+// call by its number, where not the request fails; either way no reply reaches a call that it is not for.
+func TestReplyOfUnknownFateIsNotSentAgain(t *testing.T) {
+	set := settings
+	set.Classes = append(slices.Clone(set.Classes), policy.Class{Name: "needy", Aim: 600 * time.Millisecond, Deadline: 20 * time.Second,
+		Worth: 4, LateValue: 1, Calls: true})
+	x := newExecutor(t)
+	h := withExecutorBy(t, clock.System(), set, x, newVault(t, func(w http.ResponseWriter, r *http.Request) {
+		b, _ := io.ReadAll(r.Body)
+		fmt.Fprintf(w, "for %s", b)
+	}))
+	x.welcome(0)
+	x.pass()
+	p := h.router()
+	p.req(1, 1, "tank-level", "", "a")
+	x.want("EXEC", id(1))
+	p.req(2, 2, "needy", "", "b")
+	x.want("EXEC", id(2))
+	x.mute = true
+	for n := 1; n <= 2; n++ {
+		x.notice("CALLOUT", id(n), fmt.Sprint("call ", n))
+		if c := x.want("RETURN", id(n)); string(c.body) != fmt.Sprint("for call ", n) {
+			t.Errorf("the run got %q", c.body)
+		}
+	}
+	x.cut() // no answer came to what went out behind the replies
+	x.rejoin(2)
+	x.mute = false
+	x.pass()
+	x.notice("CALLOUT", id(1), "call 3") // both replies had arrived
+	x.notice("CALLOUT", id(2), "call 4")
+	p.want("2", "error")
+	if c := x.want("BYPASS", id(1)); c.words[2] != "1" {
+		t.Errorf("left out: the call of notice %s", c.words[2])
+	}
+	if c := x.want("RETURN", id(1)); string(c.body) != "for call 3" {
+		t.Errorf("the call got %q", c.body)
+	}
+	x.notice("EXIT", id(2)+" interrupted 5", "")
+	x.notice("EXIT", id(1)+" success 5", "A")
+	p.want("1", "done", "", "A")
+}
+
+// The same break, but a METER behind the replies was answered before it: they arrived, and nothing is sent again.
+func TestReplyThatArrivedIsLeftAlone(t *testing.T) {
+	x := newExecutor(t)
+	h := withExecutor(t, x, newVault(t, func(w http.ResponseWriter, r *http.Request) { io.WriteString(w, "reply") }))
+	x.welcome(0)
+	x.pass()
+	p := h.router()
+	p.req(1, 1, "tank-level", "", "a")
+	x.want("EXEC", id(1))
+	x.notice("CALLOUT", id(1), "q")
+	x.want("RETURN", id(1))
+	p.req(2, 2, "book-delivery", "", "b")
+	x.want("EXEC", id(2)) // on the way to it, the METER was answered
+	x.notice("EXIT", id(2)+" success 1", "B")
+	p.want("2", "done", "", "B")
+	x.cut()
+	x.rejoin(2)
+	x.pass()
+	p.req(3, 3, "book-delivery", "", "c")
+	x.want("EXEC", id(3)) // the first command of all
+	x.notice("EXIT", id(1)+" success 5", "A")
+	p.want("1", "done", "", "A")
+}
--- a/internal/net/respfront/front_test.go
+++ b/internal/net/respfront/front_test.go
@@ -26,11 +26,11 @@
 func (echo) Start(a *core.Attempt) {
 	a.Notify(core.Notice{Ended: true, Outcome: policy.OK, Body: pool.Copy(a.Request.Body)})
 }
-func (echo) Return(*core.Attempt, []byte) {}
-func (echo) Skip(*core.Attempt, uint64)   {}
-func (echo) Drop(*core.Attempt)           {}
-func (echo) Meter(func([]float64))        {}
-func (echo) Diagnose(func(bool)) bool     { return false }
+func (echo) Return(*core.Attempt, uint64, []byte) {}
+func (echo) Skip(*core.Attempt, uint64)           {}
+func (echo) Drop(*core.Attempt)                   {}
+func (echo) Meter(func([]float64))                {}
+func (echo) Diagnose(func(bool)) bool             { return false }
 func (echo) Call(context.Context, string, float64, []byte) (policy.Outcome, []byte) {
 	return policy.Unreached, nil
 }
--- a/internal/net/uwsgi/runner.go
+++ b/internal/net/uwsgi/runner.go
@@ -113,7 +113,7 @@
 }
 
 // Return is for runs that make calls; these make none that we see.
-func (r *Runner) Return(*core.Attempt, []byte) {}
+func (r *Runner) Return(*core.Attempt, uint64, []byte) {}
 
 // Skip is for runs that make calls.
 func (r *Runner) Skip(*core.Attempt, uint64) {}
