Drop no notice to leave, and start beside a process that is just ending

Seen by reading main.go line by line: - All signals shared one channel of eight. What finds a channel full is dropped by the library, so a notice to leave behind eight notices to read the file again was lost, and the process ran into its kill with requests open. - inherit's error ended the start: a process that ends between taking the connection and handing its sockets over (or is killed then) made its successor refuse to start. So did an address that is free a moment later. Change: the notice to leave has a place of its own; the asking and the listening are tried anew for 5 s, and what was opened in part is closed between tries. An address that stays in use is the same error as before, 5 s later. Cleared: SIGTERM before the loop waits in its channel; one before WELCOME drains at once; a second one is passed over; SIGHUP and SIGTERM are taken one after the other by the one loop. Both tests were seen to fail without their change ("never heard"; the start's error).

--- a/cmd/puffinsaddle/main.go
+++ b/cmd/puffinsaddle/main.go
@@ -18,6 +18,7 @@
 	"sync"
 	"sync/atomic"
 	"syscall"
+	"time"
 
 	"github.com/rs/zerolog"
 
@@ -39,6 +40,8 @@
 const (
 	spareSockets = 64 // descriptors for the executor, the vault, logs and the rest
 	drainMark    = "drain/"
+	addressFor   = 5 * time.Second // an address in use is tried for so long
+	addressPause = 20 * time.Millisecond
 	keyedPart    = 0.15 // of the limit, for the tries of keyed classes and their results
 	memoryPart   = 0.7  // of the limit, from which the collector works harder; stacks and sockets need the rest
 )
@@ -53,8 +56,7 @@
 // serve is one order server, to the end of its drain.
 func serve() int {
 	// Caught before anything else: a notice that comes while the program starts must not end it.
-	signals := make(chan os.Signal, 8)
-	signal.Notify(signals, syscall.SIGTERM, os.Interrupt, syscall.SIGHUP)
+	signals := caught()
 	load := func() (*config.Config, error) { return config.Load(os.Getenv) }
 	cfg, err := load()
 	if err != nil {
@@ -70,6 +72,26 @@
 	return 0
 }
 
+// caught is the notices that this process gets. One to leave has a place of its own, since what finds a channel full is
+// dropped: notices to read the file again, however many come while the file is read, must not cost it. Of those, one
+// that waits stands for all: it reads what the file holds by then.
+func caught() <-chan os.Signal {
+	leave, again, all := make(chan os.Signal, 1), make(chan os.Signal, 8), make(chan os.Signal)
+	signal.Notify(leave, syscall.SIGTERM, os.Interrupt)
+	signal.Notify(again, syscall.SIGHUP)
+	go func() {
+		for {
+			select {
+			case s := <-leave:
+				all <- s
+			case s := <-again:
+				all <- s
+			}
+		}
+	}()
+	return all
+}
+
 // run wires the parts and serves until the notice to drain is carried out. load reads the configuration again.
 func run(cfg *config.Config, load func() (*config.Config, error), signals <-chan os.Signal, log zerolog.Logger) error {
 	runtime.GOMAXPROCS(max(int(math.Ceil(cfg.Cores)), 1))
@@ -123,12 +145,8 @@
 	c = core.New(clk, log, cfg.Settings, cfg.Seed, runner, calls, ledger)
 	c.Room(int(cfg.MemoryMB * keyedPart * (1 << 20)))
 	held.serve(ctx, c, farm)
-	given, err := inherit(cfg, log)
-	if err != nil {
-		return err
-	}
+	given, fronts, sockets, err := doors(cfg, c, clk, log)
 	defer given.close()
-	fronts, sockets, err := listen(cfg, given.sockets, c, clk, log)
 	if err != nil {
 		return err
 	}
@@ -190,9 +208,9 @@
 	reporter := members.New(cfg.Members, cfg.Name)
 	go reporter.Run(ctx)
 
-	var doors []core.Front
+	var all []core.Front
 	for _, f := range fronts {
-		doors = append(doors, f)
+		all = append(all, f)
 	}
 	left := make(chan struct{})
 	draining, inForce := false, cfg
@@ -222,7 +240,7 @@
 				log.Info().Msg("replaced")
 				held.drain()
 				go func() {
-					c.Yield(doors...)
+					c.Yield(all...)
 					held.leave()
 					close(left)
 				}()
@@ -235,7 +253,7 @@
 					go func() { note(log, state.Set(drainMark+cfg.Name, []byte("draining"))) }() // the drain waits for no quorum
 				}
 				go func() {
-					c.Leave(cfg.StopMs, doors...)
+					c.Leave(cfg.StopMs, all...)
 					held.leave()
 					close(left)
 				}()
@@ -272,10 +290,31 @@
 	Serve()
 }
 
+// doors takes the sockets of the process before this one over, or opens its own. That one may end just now: then it hands
+// nothing over, or not all, and its addresses are free a moment later.
+func doors(cfg *config.Config, c *core.Core, clk *clock.Clock, log zerolog.Logger) (given inheritance, fronts []front, sockets map[string]*net.TCPListener, err error) {
+	for last := time.Now().Add(addressFor); ; time.Sleep(addressPause) {
+		if given, err = inherit(cfg, log); err == nil {
+			fronts, sockets, err = listen(cfg, given.sockets, c, clk, log)
+		}
+		if err == nil || !given.ending && !errors.Is(err, syscall.EADDRINUSE) || time.Now().After(last) {
+			return given, fronts, sockets, err
+		}
+		log.Warn().Err(err).Msg("the process before is ending, or holds the address; trying again")
+		given.close()
+	}
+}
+
 // listen opens the fronts that the configuration names, on sockets that were handed over where there are such.
-func listen(cfg *config.Config, given map[string]*net.TCPListener, c *core.Core, clk *clock.Clock, log zerolog.Logger) ([]front, map[string]*net.TCPListener, error) {
-	var fronts []front
-	sockets := map[string]*net.TCPListener{}
+func listen(cfg *config.Config, given map[string]*net.TCPListener, c *core.Core, clk *clock.Clock, log zerolog.Logger) (fronts []front, sockets map[string]*net.TCPListener, err error) {
+	sockets = map[string]*net.TCPListener{}
+	defer func() {
+		if err != nil { // another try must not find them in use
+			for _, s := range sockets {
+				s.Close()
+			}
+		}
+	}()
 	open := func(address, what string) (*accept.Listener, error) {
 		ln, err := accept.On(given[address], log), error(nil)
 		if given[address] == nil {
@@ -314,6 +353,7 @@
 	path    string // where this process offers the same in its turn; empty: nowhere
 	sockets map[string]*net.TCPListener
 	tie     net.Conn
+	ending  bool // that process did not hand them over
 }
 
 func (i inheritance) any() bool { return len(i.sockets) > 0 }
@@ -332,6 +372,7 @@
 	}
 	i.path = filepath.Join(cfg.Private, url.PathEscape(cfg.Name)+".handover")
 	if i.sockets, i.tie, err = handover.Take(i.path); err != nil {
+		i.ending = true
 		return i, err
 	}
 	if i.any() {
--- a/cmd/puffinsaddle/main_test.go
+++ b/cmd/puffinsaddle/main_test.go
@@ -6,10 +6,12 @@
 	"io"
 	"net"
 	"os"
+	"os/signal"
 	"path/filepath"
 	"strings"
 	"syscall"
 	"testing"
+	"time"
 
 	"github.com/rs/zerolog"
 
@@ -189,3 +191,76 @@
 	}
 	ask()
 }
+
+// The notice to leave comes while notices to read the file again have filled what holds them: it was dropped.
+func TestNoticeToLeaveIsNeverDropped(t *testing.T) {
+	signals, seen := caught(), make(chan os.Signal, 1)
+	signal.Notify(seen, syscall.SIGHUP)
+	t.Cleanup(func() { signal.Reset(syscall.SIGHUP, syscall.SIGTERM, os.Interrupt) })
+	for range 30 {
+		syscall.Kill(os.Getpid(), syscall.SIGHUP)
+		<-seen
+	}
+	signal.Notify(seen, syscall.SIGTERM)
+	syscall.Kill(os.Getpid(), syscall.SIGTERM)
+	<-seen
+	for late := time.After(10 * time.Second); ; {
+		select {
+		case s := <-signals:
+			if s == syscall.SIGTERM {
+				return
+			}
+		case <-late:
+			t.Fatal("never heard")
+		}
+	}
+}
+
+// The process before this one ends while it is asked for its sockets: it takes the asking and hands nothing over, and
+// its address is free a moment later. The start was refused.
+func TestStartBesideAProcessThatEnds(t *testing.T) {
+	private := t.TempDir()
+	path := filepath.Join(t.TempDir(), "config.json")
+	old, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	offer, err := net.Listen("unix", filepath.Join(private, "n1.handover"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() {
+		for range 2 {
+			conn, err := offer.Accept()
+			if err != nil {
+				return
+			}
+			conn.Close()
+		}
+		offer.Close()
+	}()
+	executor, _ := executorPeer(t, "WELCOME steady 5\r\n")
+	file := strings.Replace(fmt.Sprintf(text, executor, membersPeer(t).LocalAddr()), "127.0.0.1:0", old.Addr().String(), 1)
+	if err := os.WriteFile(path, []byte(file), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	load := func() (*config.Config, error) {
+		return config.Load(func(k string) string { return map[string]string{"RELAY_CONFIG": path, "TMPDIR": private}[k] })
+	}
+	cfg, err := load()
+	if err != nil {
+		t.Fatal(err)
+	}
+	lines, signals, done := make(logLines, 1000), make(chan os.Signal), make(chan error, 1)
+	go func() {
+		err := run(cfg, load, signals, zerolog.New(lines))
+		done <- err
+		if err != nil {
+			close(lines)
+		}
+	}()
+	lines.want(t, "handover")
+	lines.want(t, "address already in use")
+	old.Close()
+	lines.want(t, "module started")
+}
