Join an executor that began anew as at a start, and fail what the one before ran

Seen by reading: an executor numbers its notices from 1 at its start. After another had begun at the address, the link joined it with the number of the old one's last notice, and Link.tell dropped all notices up to that as read before; the runs of the old one were waited for without end and kept their places in the module. So an executor that began over a second after one welcomed us is another. Change: then its runs fail, since they may have had their effect, and the link joins again from 0. What was not yet sent goes to the new one. The scripted executor of the tests now tells its true age. Seen to fail without the change (no answer within the patience).

--- a/internal/net/executor/executor.go
+++ b/internal/net/executor/executor.go
@@ -28,6 +28,7 @@
 	dialFor     = 2 * time.Second // an address that takes no connection is tried anew after so long
 	mostPayload = 1 << 20         // bytes of a result or a call's body; the protocol has 4 KiB
 	mostWaiting = 4 << 20         // bytes of commands that wait for a slow executor; past this the link is made anew
+	anewSlack   = time.Second     // a clock may be set; an executor that begins anew takes longer
 	mostAsked   = 64              // gauges and checks asked for at once
 	silentFor   = 3 * time.Second // the module reads the gauges twice a second; a link that brings nothing so long is dead
 )
@@ -44,10 +45,11 @@
 	address string
 	leave   func() // ends the present link, or the dialing for it
 	conn    net.Conn
-	ready   bool   // the fence has passed: every command goes out as it is given
-	fence   string // tag of the METER that closes what the executor tells of the time without a link
-	out     []byte // commands for the writer
-	last    uint64 // the last notice that was read
+	ready   bool      // the fence has passed: every command goes out as it is given
+	fence   string    // tag of the METER that closes what the executor tells of the time without a link
+	out     []byte    // commands for the writer
+	last    uint64    // the last notice that was read
+	met     time.Time // when an executor last welcomed us
 	seq     uint64
 	runs    map[string]*run
 	acks    map[string]*run // by tag of the METER behind a reply that was handed to it
@@ -61,6 +63,7 @@
 	seq     uint64
 	command []byte // the last command, until a notice shows that it arrived, or the answer to a later one does
 	sent    bool   // it went out on a link, maybe one that broke
+	begun   bool   // one of its commands went out
 	call    uint64 // it is the reply to the call of this notice; 0: it is none
 	ack     string // tag of the METER that went out behind it
 }
@@ -192,7 +195,7 @@
 // give sends a run's command, and behind a reply to a call a METER: commands are read in their order, so its answer
 // shows that the reply arrived. The lock is held.
 func (l *Link) give(r *run) {
-	r.sent = true
+	r.sent, r.begun = true, true
 	l.send(r.command)
 	if r.call > 0 {
 		l.seq++
@@ -312,6 +315,33 @@
 	}
 }
 
+// anew tells that the executor began after one had welcomed us, so that it is another: it numbers its notices from 1,
+// and of what the one before ran nothing more is heard. Whether that had its effect nobody can tell.
+func (l *Link) anew(now time.Time, ageMs float64) bool {
+	l.mu.Lock()
+	began := now.Add(-time.Duration(ageMs * float64(time.Millisecond)))
+	another := !l.met.IsZero() && began.After(l.met.Add(anewSlack))
+	l.met = now
+	var gone []*run
+	if another {
+		l.last = 0
+		for id, r := range l.runs {
+			if r.begun {
+				gone = append(gone, r)
+				delete(l.runs, id)
+			}
+		}
+	}
+	l.mu.Unlock()
+	for _, r := range gone {
+		l.log.Warn().Str("id", r.attempt.Request.ID).Msg("its executor is gone: failed")
+		r.attempt.Notify(core.Notice{Ended: true, Outcome: policy.Failed})
+	}
+	return another
+}
+
+var errAnew = errors.New("another executor: joining as at a start")
+
 var errMalformed = errors.New("malformed notice")
 
 func (l *Link) notice(w []string, body []byte) error {
@@ -322,6 +352,9 @@
 			return errMalformed
 		}
 		l.log.Info().Str("state", w[1]).Float64("age_ms", ms).Msg("executor link up")
+		if l.anew(time.Now(), ms) {
+			return errAnew
+		}
 		l.up(w[1] == "booting", ms)
 		l.mu.Lock()
 		defer l.mu.Unlock()
--- a/internal/net/peers_test.go
+++ b/internal/net/peers_test.go
@@ -142,13 +142,14 @@
 	mu   sync.Mutex
 	conn net.Conn
 	n    int
+	born time.Time
 	mute bool // METERs but for the fence's get no answer
 }
 
 func newExecutor(t *testing.T) *executorPeer {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	must(t, err)
-	x := &executorPeer{t: t, ln: ln, cmds: make(chan command, 1000)}
+	x := &executorPeer{t: t, ln: ln, cmds: make(chan command, 1000), born: time.Now()}
 	t.Cleanup(func() { ln.Close() })
 	go func() {
 		for {
@@ -230,15 +231,18 @@
 func (x *executorPeer) welcome(n int) {
 	x.t.Helper()
 	x.want("JOIN", strconv.Itoa(n))
-	x.say("WELCOME steady 5")
+	x.hail()
 }
 
+// hail tells how long ago the executor began.
+func (x *executorPeer) hail() { x.say("WELCOME steady %d", time.Since(x.born).Milliseconds()) }
+
 // rejoin is a welcome on a new link; what was still on its way over the old one is passed over.
 func (x *executorPeer) rejoin(n int) {
 	x.t.Helper()
 	for c := x.next(); c.words[0] != "JOIN"; c = x.next() {
 	}
-	x.say("WELCOME steady 5")
+	x.hail()
 }
 
 func (x *executorPeer) pass() {
--- a/internal/net/rare_test.go
+++ b/internal/net/rare_test.go
@@ -158,3 +158,29 @@
 	x.notice("EXIT", id(1)+" success 5", "A")
 	p.want("1", "done", "", "A")
 }
+
+// The executor ends with a run on and another begins at its address: the run fails, what comes after is begun at the new
+// one, and its notices, which count from 1 again, are heard. All of them passed for old ones before.
+func TestAnotherExecutorIsJoinedAnew(t *testing.T) {
+	x, h := serving(t)
+	p := h.router()
+	p.req(1, 1, "book-delivery", "", "a")
+	x.want("EXEC", id(1))
+	p.req(2, 2, "book-delivery", "", "b")
+	x.want("EXEC", id(2))
+	x.notice("EXIT", id(1)+" success 1", "A")
+	p.want("1", "done", "", "A")
+	x.cut()
+	x.want("JOIN", "1")
+	time.Sleep(1100 * time.Millisecond) // an executor takes a while to begin, which its age shows
+	x.born, x.n = time.Now(), 0
+	x.hail()
+	p.want("2", "error")
+	x.want("JOIN", "0")
+	x.hail()
+	x.pass()
+	p.req(3, 3, "book-delivery", "", "c")
+	x.want("EXEC", id(3))
+	x.notice("EXIT", id(3)+" success 1", "C")
+	p.want("3", "done", "", "C")
+}
--- a/internal/net/stories_test.go
+++ b/internal/net/stories_test.go
@@ -101,7 +101,7 @@
 			t.Fatal("the silent link stands")
 		}
 	}
-	x.say("WELCOME steady 5")
+	x.hail()
 	x.pass()
 	x.want("EXEC", id(1))
 	x.notice("EXIT", id(1)+" success 1", "A")
