Leave the listening queue only to a successor that serves

Seen by reading: handover.Offer counted a successor as soon as it had the sockets. A notice to leave that came before its executor was up made core.Yield close the accepting at once; who connected then waited in a queue that nobody accepted from, for good where the successor never came up. Ruled out: a second queue (both hold the same socket), and a successor that ended (its tie ends, and it is not counted). Change: the successor says over the tie that it serves, and says it is ready only once that was heard, or after a second. Until then the notice is one to drain, and the queue is accepted from to the end of it. A process of the build before does not answer; its successor waits the second. The test was seen to fail without the change (the first was "replaced" by one that did not serve).

--- a/cmd/puffinsaddle/main.go
+++ b/cmd/puffinsaddle/main.go
@@ -161,6 +161,7 @@
 				note(log, err) // then this process can't be replaced while it runs
 			}
 		}
+		handover.Serving(given.tie)
 		ready.Store(true)
 	}
 	if !given.any() {
--- a/cmd/puffinsaddle/main_test.go
+++ b/cmd/puffinsaddle/main_test.go
@@ -135,12 +135,10 @@
 	}
 }
 
-// A second process starts beside the first on the same addresses and takes its sockets over once its own executor is
-// up. The first is then no longer needed: it asks its callers to go, and ends by itself. Nobody is ever refused a
-// connection, and checks are answered well all the while.
-func TestRunningProcessIsReplaced(t *testing.T) {
+// starter starts processes beside each other, with a folder that they share.
+func starter(t *testing.T) func(executor string) (logLines, chan os.Signal, chan error) {
 	private, members := t.TempDir(), membersPeer(t)
-	start := func(executor string) (logLines, chan os.Signal, chan error) {
+	return func(executor string) (logLines, chan os.Signal, chan error) {
 		path := filepath.Join(t.TempDir(), "config.json")
 		if err := os.WriteFile(path, []byte(fmt.Sprintf(text, executor, members.LocalAddr())), 0o600); err != nil {
 			t.Fatal(err)
@@ -156,6 +154,13 @@
 		go func() { done <- run(cfg, load, signals, zerolog.New(lines)) }()
 		return lines, signals, done
 	}
+}
+
+// A second process starts beside the first on the same addresses and takes its sockets over once its own executor is
+// up. The first is then no longer needed: it asks its callers to go, and ends by itself. Nobody is ever refused a
+// connection, and checks are answered well all the while.
+func TestRunningProcessIsReplaced(t *testing.T) {
+	start := starter(t)
 	const check, healthy = "*2\r\n$6\r\nHEALTH\r\n$1\r\n1\r\n", "*3\r\n$1\r\n1\r\n$7\r\nhealthy\r\n"
 	first, _ := executorPeer(t, "WELCOME steady 5\r\n")
 	lines, signals, done := start(first)
@@ -192,6 +197,34 @@
 	ask()
 }
 
+// The notice to leave comes when a second process has the sockets and its executor is not up, so that it does not serve:
+// the first left the queue to it, and nobody accepted. It drains as one that nobody replaces.
+func TestQueueIsNotLeftToOneThatDoesNotServe(t *testing.T) {
+	start := starter(t)
+	first, _ := executorPeer(t, "WELCOME steady 5\r\n")
+	lines, signals, _ := start(first)
+	_, at, _ := strings.Cut(lines.want(t, "serving routers"), `"at":"`)
+	at, _, _ = strings.Cut(at, `"`)
+	second, joins := executorPeer(t, "")
+	start(second)
+	<-joins
+	lines.want(t, "handed to a successor")
+	signals <- syscall.SIGTERM
+	lines.want(t, "draining")
+	conn, err := net.Dial("tcp", at)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	io.WriteString(conn, "*4\r\n$3\r\nREQ\r\n$1\r\n1\r\n$4\r\nbook\r\n$0\r\n\r\n")
+	const answers = "*2\r\n$1\r\n0\r\n$7\r\nclosing\r\n*3\r\n$1\r\n1\r\n$5\r\nerror\r\n$0\r\n\r\n"
+	b := make([]byte, len(answers))
+	conn.SetDeadline(time.Now().Add(time.Minute))
+	if _, err := io.ReadFull(conn, b); err != nil || string(b) != answers {
+		t.Errorf("answered %q, %v", b, err)
+	}
+}
+
 // The notice to leave comes while notices to read the file again have filled what holds them: it was dropped.
 func TestNoticeToLeaveIsNeverDropped(t *testing.T) {
 	signals, seen := caught(), make(chan os.Signal, 1)
--- a/internal/net/handover/handover.go
+++ b/internal/net/handover/handover.go
@@ -69,8 +69,6 @@
 		}
 		names, fds = append(names, name), append(fds, fd)
 	}
-	o.successors.Add(1)
-	defer o.successors.Add(-1)
 	_, _, err := conn.WriteMsgUnix([]byte(strings.Join(names, "\n")), syscall.UnixRights(fds...), nil)
 	for _, fd := range fds {
 		syscall.Close(fd)
@@ -80,7 +78,14 @@
 		return
 	}
 	log.Info().Strs("sockets", names).Msg("handed to a successor")
-	conn.Read(make([]byte, 1))
+	var b [1]byte
+	if n, _ := conn.Read(b[:]); n == 0 {
+		return
+	}
+	o.successors.Add(1)
+	defer o.successors.Add(-1)
+	conn.Write(b[:])
+	conn.Read(b[:])
 }
 
 // duplicate keeps a descriptor open while it is sent, whatever closes the listener meanwhile. It touches none of the
@@ -96,7 +101,19 @@
 	return fd, err
 }
 
-// Taken tells whether a successor that has the sockets is alive.
+// Serving tells the process that gave the sockets that this one serves from now on, and waits, for a while, until that has
+// heard it: a notice to leave must not find it unaware. One that went needs to hear nothing.
+func Serving(tie net.Conn) {
+	if tie == nil {
+		return
+	}
+	tie.SetDeadline(time.Now().Add(takeFor))
+	tie.Write([]byte{1})
+	tie.Read(make([]byte, 1))
+}
+
+// Taken tells whether a successor that serves on the sockets is alive. To one that has them and does not serve yet, the
+// queue is not left: it may never come to it.
 func (o *Offer) Taken() bool { return o != nil && o.successors.Load() > 0 }
 
 // Close ends the offer.
