Count the drain's window from the notice, not from when the module comes to it

Seen by reading: policy.take set drainFrom to the time of its call. Ruled out: the other side of the comparison; `reached` is counted back from `at`, whenever a request is read. Change: core.Drain notes when it was called, DrainNotice tells how long ago that was, and the module counts from there. The test holds the owner for 200 ms of a set clock and was seen to fail without the change: a request that reached the machine 2,600 ms after the notice was run, with a window of 2,500.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -75,6 +75,7 @@
 	start  bool         // the runner is up
 	cold   bool
 	drain  float64          // when the process will be stopped
+	told   float64          // when that was said
 	set    *policy.Settings // in force from now on
 	call   func()
 }
@@ -181,7 +182,7 @@
 func (c *Core) Away(away bool) { c.away.Store(away) }
 
 // Drain tells the module that the process will be stopped at that time.
-func (c *Core) Drain(stopAt float64) { c.inbox.Put(event{drain: stopAt}) }
+func (c *Core) Drain(stopAt float64) { c.inbox.Put(event{drain: stopAt, told: c.clock.Now()}) }
 
 // Health answers a check: from the module's setting, or where that says so by real work.
 func (c *Core) Health(deep bool, answer func(good bool)) {
@@ -265,7 +266,7 @@
 			e.call()
 		case e.drain > 0:
 			c.start(now, false)
-			c.events = append(c.events, policy.DrainNotice{Left: clock.Duration(max(e.drain-now, 0))})
+			c.events = append(c.events, policy.DrainNotice{Left: clock.Duration(max(e.drain-now, 0)), Ago: clock.Duration(max(now-e.told, 0))})
 		case e.event != nil:
 			c.start(now, false) // nothing comes before the runner is up, but if it does it must be answered
 			if ev := c.translate(now, e); ev != nil {
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -283,3 +283,27 @@
 		}
 	}
 }
+
+// The owner comes to the notice to drain late: the window in which what comes may still run counts from the notice, and
+// to when a request reached the machine, whenever it is read.
+func TestDrainWindowCountsFromTheNotice(t *testing.T) {
+	r := newRig(t, nil)
+	set := testSettings
+	set.DrainGrace = 2500 * time.Millisecond
+	r.Adopt(set)
+	in, release := make(chan struct{}), make(chan struct{})
+	r.Then(func() { close(in); <-release })
+	<-in
+	r.Drain(begin + 9000)
+	r.clock.Set(begin + 200)
+	close(release)
+	handled := make(chan struct{})
+	r.Then(func() { close(handled) })
+	<-handled
+	r.clock.Set(begin + 2690)
+	r.open(1, "book", "", begin+2600)
+	r.want(fmt.Sprintf("1 %d ", Refused))
+	r.open(2, "book", "", begin+2500)
+	r.end(<-r.hand.started, "A", 1)
+	r.want("2 0 A")
+}
--- a/policy/api.go
+++ b/policy/api.go
@@ -141,7 +141,10 @@
 type CallerGone struct{ ID ID }
 
 // DrainNotice tells that the instance will be stopped.
-type DrainNotice struct{ Left time.Duration }
+type DrainNotice struct {
+	Left time.Duration
+	Ago  time.Duration // how long ago the notice came
+}
 
 // Woke is the answer to WakeAt.
 type Woke struct {
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -186,7 +186,7 @@
 		n.gone(e.ID)
 	case DrainNotice:
 		if !n.draining {
-			n.draining, n.drainFrom = true, n.now
+			n.draining, n.drainFrom = true, n.now-e.Ago
 			n.do(Health{Shallow: true})
 		}
 		n.stopAt = n.now + e.Left - max(stopMargin, 3*n.set.Tick)
--- a/policy/random_test.go
+++ b/policy/random_test.go
@@ -369,7 +369,7 @@
 	if w.l.drainAt == 0 && w.rng.IntN(2500) == 0 {
 		left := time.Duration(w.rng.IntN(3000)) * ms
 		w.l.drainAt, w.l.stopAt = w.l.now, w.l.now+left
-		events = append(events, DrainNotice{left})
+		events = append(events, DrainNotice{Left: left})
 	}
 	if w.l.wake <= w.l.now {
 		events = append(events, Woke{w.l.token, []float64{w.rng.Float64(), float64(w.rng.IntN(12)), w.rng.Float64()}})
