--- a/cmd/puffinsaddle/main_test.go
+++ b/cmd/puffinsaddle/main_test.go
@@ -297,3 +297,45 @@
 	old.Close()
 	lines.want(t, "module started")
 }
+
+// Notices before the executor is up: a file that is empty or cut short at any byte changes nothing, one to leave comes
+// twice with one to read the file again between, and the process ends by itself within its time.
+func TestNoticesBeforeWelcome(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "config.json")
+	load := func() (*config.Config, error) {
+		return config.Load(func(k string) string { return map[string]string{"RELAY_CONFIG": path}[k] })
+	}
+	executor, joins := executorPeer(t, "")
+	members := membersPeer(t)
+	file := strings.Replace(fmt.Sprintf(text, executor, members.LocalAddr()), `"stop_ms":1e7`, `"stop_ms":300`, 1)
+	write := func(s string) {
+		if err := os.WriteFile(path, []byte(s), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	write(file)
+	cfg, err := load()
+	if err != nil {
+		t.Fatal(err)
+	}
+	lines, signals, done := make(logLines, 10000), make(chan os.Signal), make(chan error, 1)
+	go func() { done <- run(cfg, load, signals, zerolog.New(lines)) }()
+	<-joins
+	for n := 0; n < len(file); n += 7 {
+		write(file[:n])
+		signals <- syscall.SIGHUP
+		lines.want(t, "stays in force")
+	}
+	if len(joins) > 0 {
+		t.Error("the executor was joined again")
+	}
+	signals <- syscall.SIGTERM
+	write(file)
+	signals <- syscall.SIGHUP
+	signals <- syscall.SIGTERM
+	lines.want(t, "configuration read again")
+	lines.want(t, "leaving")
+	if err := <-done; err != nil {
+		t.Errorf("ended with %v", err)
+	}
+}
--- a/internal/net/members/members.go
+++ b/internal/net/members/members.go
@@ -14,8 +14,9 @@
 
 // Reporter reports that the order server is there.
 type Reporter struct {
-	name string
-	kick chan struct{} // report now
+	name  string
+	every time.Duration
+	kick  chan struct{} // report now
 
 	mu      sync.Mutex
 	address string
@@ -24,7 +25,7 @@
 
 // New makes a reporter.
 func New(address, name string) *Reporter {
-	return &Reporter{address: address, name: name, kick: make(chan struct{}, 1)}
+	return &Reporter{address: address, name: name, every: every, kick: make(chan struct{}, 1)}
 }
 
 // Leave makes further reports say that the order server leaves.
@@ -66,7 +67,7 @@
 		conn = nil
 	}
 	defer drop()
-	tick := time.NewTicker(every)
+	tick := time.NewTicker(r.every)
 	defer tick.Stop()
 	for {
 		address, report := r.now()
--- a/internal/net/rare_test.go
+++ b/internal/net/rare_test.go
@@ -184,3 +184,70 @@
 	x.notice("EXIT", id(3)+" success 1", "C")
 	p.want("3", "done", "", "C")
 }
+
+// A router gives up just as the answer comes: whichever the server hears of first, there is one answer at most, and the
+// connection goes on.
+func TestGivingUpAgainstTheAnswer(t *testing.T) {
+	x, h := serving(t)
+	p := h.router()
+	for n := 1; n <= 40; n += 2 {
+		p.req(n, n, "book-delivery", "", "a")
+		x.want("EXEC", id(n))
+		if n%4 == 1 {
+			x.notice("EXIT", id(n)+" success 1", "A")
+			p.send("ABORT", fmt.Sprint(n))
+		} else {
+			p.send("ABORT", fmt.Sprint(n))
+			x.notice("EXIT", id(n)+" interrupted 1", "")
+		}
+		p.req(n+1, n+1, "book-delivery", "", "b")
+		x.want("EXEC", id(n+1))
+		x.notice("EXIT", id(n+1)+" success 1", "B")
+		seen := 0
+		for a := p.answer(); a[0] != fmt.Sprint(n+1); a = p.answer() {
+			if seen++; a[0] != fmt.Sprint(n) || seen > 1 {
+				t.Fatalf("answered %q, for the %dth time", a, seen)
+			}
+		}
+	}
+}
+
+// A caller gives up just as the reply to its run's call comes; the executor says of what comes late that it did not carry
+// it out, which ends nothing. Then it gives the wrong kinds of refusal besides.
+func TestGivingUpACallAgainstItsReply(t *testing.T) {
+	called, reply := make(chan struct{}), make(chan struct{})
+	x := newExecutor(t)
+	h := withExecutor(t, x, newVault(t, func(w http.ResponseWriter, r *http.Request) {
+		io.ReadAll(r.Body)
+		called <- struct{}{}
+		<-reply
+		io.WriteString(w, "reply")
+	}))
+	x.welcome(0)
+	x.pass()
+	p := h.router()
+	for n := 1; n <= 20; n += 2 {
+		p.req(n, n, "tank-level", "", "a")
+		x.want("EXEC", id(n))
+		x.notice("CALLOUT", id(n), "q")
+		<-called
+		go func() { reply <- struct{}{} }()
+		p.send("ABORT", fmt.Sprint(n))
+		x.say("BAD RETURN %s\r\nBAD BYPASS %s\r\nBAD KILL %s\r\nBAD COMMAND", id(n), id(n), id(n))
+		x.notice("EXIT", id(n)+" interrupted 1", "")
+		p.req(n+1, n+1, "book-delivery", "", "b")
+		c := x.next()
+		for c.words[0] == "RETURN" && c.words[1] == id(n) {
+			c = x.next()
+		}
+		if c.words[0] != "EXEC" || c.words[1] != id(n+1) {
+			t.Fatalf("command %q", c.words)
+		}
+		x.notice("EXIT", id(n+1)+" success 1", "B")
+		for a := p.answer(); a[0] != fmt.Sprint(n+1); a = p.answer() {
+			if a[0] != fmt.Sprint(n) || a[1] != "error" {
+				t.Fatalf("answered %q", a)
+			}
+		}
+	}
+}
