Count the time to leave from when the notice came, not from when it is looked at

Found by reading: in main.run the loop applies a notice to read the file again itself, and Core.Leave took the time (c.clock.Now()) when the loop came to SIGTERM. So a notice that came while the file was read and handed on counted from later: requests that reached the machine past the window could run, and the process was still answering when it is killed. caught() handed both kinds on by one goroutine, which waited with a notice to read the file again in its hand. Ruled out: the module's part, which counts from the told time already. Now each kind has its goroutine, a notice carries when it came, and Leave and Yield count from that. TestNoticeToLeaveCountsFromWhenItCame hands in a notice that is late by all but 2 s of its time; without the change the process is still there a minute later.

--- a/cmd/puffinsaddle/main.go
+++ b/cmd/puffinsaddle/main.go
@@ -56,7 +56,8 @@
 // serve is one order server, to the end of its drain.
 func serve() int {
 	// Caught before anything else: a notice that comes while the program starts must not end it.
-	signals := caught()
+	clk := clock.System()
+	signals := caught(clk)
 	load := func() (*config.Config, error) { return config.Load(os.Getenv) }
 	cfg, err := load()
 	if err != nil {
@@ -65,41 +66,45 @@
 	}
 	zerolog.TimeFieldFormat = zerolog.TimeFormatUnixMs
 	log := zerolog.New(os.Stdout).With().Timestamp().Str("name", cfg.Name).Logger().Level(zerolog.InfoLevel)
-	if err := run(cfg, load, signals, log); err != nil {
+	if err := run(cfg, load, signals, clk, log); err != nil {
 		log.Error().Err(err).Msg("stopped")
 		return 1
 	}
 	return 0
 }
 
-// caught is the notices that this process gets. One to leave has a place of its own, since what finds a channel full is
-// dropped: notices to read the file again, however many come while the file is read, must not cost it. Of those, one
-// that waits stands for all: it reads what the file holds by then.
-func caught() <-chan os.Signal {
-	leave, again, all := make(chan os.Signal, 1), make(chan os.Signal, 8), make(chan os.Signal)
-	signal.Notify(leave, syscall.SIGTERM, os.Interrupt)
-	signal.Notify(again, syscall.SIGHUP)
-	go func() {
-		for {
-			select {
-			case s := <-leave:
-				all <- s
-			case s := <-again:
-				all <- s
+// notice is a signal with the time at which it came: what is to happen within a time of it counts from then, however late
+// the program comes to it.
+type notice struct {
+	os.Signal
+	at float64
+}
+
+// caught is the notices that this process gets. Each kind has a channel and a goroutine of its own, so that it is noted at
+// once: notices to read the file again, however many come while the file is read, must not delay the one to leave, nor
+// cost it, since what finds a channel full is dropped. Of those, one that waits stands for all: it reads what the file
+// holds by then.
+func caught(clk *clock.Clock) <-chan notice {
+	all := make(chan notice)
+	for _, kind := range [][]os.Signal{{syscall.SIGTERM, os.Interrupt}, {syscall.SIGHUP}} {
+		heard := make(chan os.Signal, 8)
+		signal.Notify(heard, kind...)
+		go func() {
+			for s := range heard {
+				all <- notice{s, clk.Now()}
 			}
-		}
-	}()
+		}()
+	}
 	return all
 }
 
 // run wires the parts and serves until the notice to drain is carried out. load reads the configuration again.
-func run(cfg *config.Config, load func() (*config.Config, error), signals <-chan os.Signal, log zerolog.Logger) error {
+func run(cfg *config.Config, load func() (*config.Config, error), signals <-chan notice, clk *clock.Clock, log zerolog.Logger) error {
 	runtime.GOMAXPROCS(max(int(math.Ceil(cfg.Cores)), 1))
 	debug.SetMemoryLimit(int64(cfg.MemoryMB * memoryPart * (1 << 20)))
 
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	clk := clock.System()
 	servers, hosts, err := inventoried(cfg.Operator)
 	if err != nil {
 		return err
@@ -219,7 +224,7 @@
 		select {
 		case s := <-signals:
 			switch {
-			case s == syscall.SIGHUP: // also during a drain: open runs need the new addresses until their end
+			case s.Signal == syscall.SIGHUP: // also during a drain: open runs need the new addresses until their end
 				ok := reload(load, inForce, log, func(now *config.Config) {
 					inForce = now
 					if link != nil && now.Executor != "" {
@@ -241,7 +246,7 @@
 				log.Info().Msg("replaced")
 				held.drain()
 				go func() {
-					c.Yield(all...)
+					c.Yield(s.at, all...)
 					held.leave()
 					close(left)
 				}()
@@ -254,7 +259,7 @@
 					go func() { note(log, state.Set(drainMark+cfg.Name, []byte("draining"))) }() // the drain waits for no quorum
 				}
 				go func() {
-					c.Leave(cfg.StopMs, all...)
+					c.Leave(s.at, cfg.StopMs, all...)
 					held.leave()
 					close(left)
 				}()
--- a/cmd/puffinsaddle/main_test.go
+++ b/cmd/puffinsaddle/main_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/rs/zerolog"
 
+	"puffinsaddle/internal/clock"
 	"puffinsaddle/internal/config"
 )
 
@@ -38,6 +39,9 @@
 	return ""
 }
 
+// now is a notice that comes just now.
+func now(s os.Signal) notice { return notice{s, clock.System().Now()} }
+
 func executorPeer(t *testing.T, welcome string) (address string, joined <-chan string) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -99,8 +103,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	lines, signals, done := make(logLines, 1000), make(chan os.Signal), make(chan error, 1)
-	go func() { done <- run(cfg, load, signals, zerolog.New(lines)) }()
+	lines, signals, done := make(logLines, 1000), make(chan notice), make(chan error, 1)
+	go func() { done <- run(cfg, load, signals, clock.System(), zerolog.New(lines)) }()
 	if j := <-firstJoins; j != "JOIN 0" {
 		t.Fatalf("joined with %q", j)
 	}
@@ -108,13 +112,13 @@
 		t.Fatalf("reported %q", r)
 	}
 	write(strings.Replace(fmt.Sprintf(text, second, m2.LocalAddr()), `"stop_ms":1e7`, `"stop_ms":"soon"`, 1))
-	signals <- syscall.SIGHUP
+	signals <- now(syscall.SIGHUP)
 	lines.want(t, "stop_ms")
 	write(strings.Replace(fmt.Sprintf(text, second, m2.LocalAddr()), `"stop_ms":1e7,`, "", 1)) // would be taken at a start
-	signals <- syscall.SIGHUP
+	signals <- now(syscall.SIGHUP)
 	lines.want(t, "the file in force has it")
 	write(fmt.Sprintf(text, second, m2.LocalAddr()))
-	signals <- syscall.SIGHUP
+	signals <- now(syscall.SIGHUP)
 	if j := <-secondJoins; j != "JOIN 0" {
 		t.Fatalf("joined with %q", j)
 	}
@@ -124,10 +128,10 @@
 	if len(firstJoins) > 0 {
 		t.Error("the old address was joined again")
 	}
-	signals <- syscall.SIGTERM
+	signals <- now(syscall.SIGTERM)
 	lines.want(t, "draining")
 	write(fmt.Sprintf(text, third, m2.LocalAddr()))
-	signals <- syscall.SIGHUP
+	signals <- now(syscall.SIGHUP)
 	select {
 	case <-thirdJoins:
 	case err := <-done:
@@ -136,9 +140,9 @@
 }
 
 // starter starts processes beside each other, with a folder that they share.
-func starter(t *testing.T) func(executor string) (logLines, chan os.Signal, chan error) {
+func starter(t *testing.T) func(executor string) (logLines, chan notice, chan error) {
 	private, members := t.TempDir(), membersPeer(t)
-	return func(executor string) (logLines, chan os.Signal, chan error) {
+	return func(executor string) (logLines, chan notice, chan error) {
 		path := filepath.Join(t.TempDir(), "config.json")
 		if err := os.WriteFile(path, []byte(fmt.Sprintf(text, executor, members.LocalAddr())), 0o600); err != nil {
 			t.Fatal(err)
@@ -150,8 +154,8 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		lines, signals, done := make(logLines, 1000), make(chan os.Signal), make(chan error, 1)
-		go func() { done <- run(cfg, load, signals, zerolog.New(lines)) }()
+		lines, signals, done := make(logLines, 1000), make(chan notice), make(chan error, 1)
+		go func() { done <- run(cfg, load, signals, clock.System(), zerolog.New(lines)) }()
 		return lines, signals, done
 	}
 }
@@ -189,7 +193,7 @@
 	taking, _, _ := start(third)
 	taking.want(t, "module started")
 	ask()
-	signals <- syscall.SIGTERM
+	signals <- now(syscall.SIGTERM)
 	lines.want(t, "replaced")
 	if err := <-done; err != nil {
 		t.Errorf("the first ended with %v", err)
@@ -209,7 +213,7 @@
 	start(second)
 	<-joins
 	lines.want(t, "handed to a successor")
-	signals <- syscall.SIGTERM
+	signals <- now(syscall.SIGTERM)
 	lines.want(t, "draining")
 	conn, err := net.Dial("tcp", at)
 	if err != nil {
@@ -227,7 +231,7 @@
 
 // The notice to leave comes while notices to read the file again have filled what holds them: it was dropped.
 func TestNoticeToLeaveIsNeverDropped(t *testing.T) {
-	signals, seen := caught(), make(chan os.Signal, 1)
+	signals, seen := caught(clock.System()), make(chan os.Signal, 1)
 	signal.Notify(seen, syscall.SIGHUP)
 	t.Cleanup(func() { signal.Reset(syscall.SIGHUP, syscall.SIGTERM, os.Interrupt) })
 	for range 30 {
@@ -240,7 +244,7 @@
 	for late := time.After(10 * time.Second); ; {
 		select {
 		case s := <-signals:
-			if s == syscall.SIGTERM {
+			if s.Signal == syscall.SIGTERM {
 				return
 			}
 		case <-late:
@@ -284,9 +288,9 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	lines, signals, done := make(logLines, 1000), make(chan os.Signal), make(chan error, 1)
+	lines, signals, done := make(logLines, 1000), make(chan notice), make(chan error, 1)
 	go func() {
-		err := run(cfg, load, signals, zerolog.New(lines))
+		err := run(cfg, load, signals, clock.System(), zerolog.New(lines))
 		done <- err
 		if err != nil {
 			close(lines)
@@ -318,24 +322,44 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	lines, signals, done := make(logLines, 10000), make(chan os.Signal), make(chan error, 1)
-	go func() { done <- run(cfg, load, signals, zerolog.New(lines)) }()
+	lines, signals, done := make(logLines, 10000), make(chan notice), make(chan error, 1)
+	go func() { done <- run(cfg, load, signals, clock.System(), zerolog.New(lines)) }()
 	<-joins
 	for n := 0; n < len(file); n += 7 {
 		write(file[:n])
-		signals <- syscall.SIGHUP
+		signals <- now(syscall.SIGHUP)
 		lines.want(t, "stays in force")
 	}
 	if len(joins) > 0 {
 		t.Error("the executor was joined again")
 	}
-	signals <- syscall.SIGTERM
+	signals <- now(syscall.SIGTERM)
 	write(file)
-	signals <- syscall.SIGHUP
-	signals <- syscall.SIGTERM
+	signals <- now(syscall.SIGHUP)
+	signals <- now(syscall.SIGTERM)
 	lines.want(t, "configuration read again")
 	lines.want(t, "leaving")
 	if err := <-done; err != nil {
 		t.Errorf("ended with %v", err)
 	}
 }
+
+// The notice to leave comes while the file is read again, and the program gets to it a minute late: its time counts from
+// when it came, not from then, or it would be stopped with requests in hand.
+func TestNoticeToLeaveCountsFromWhenItCame(t *testing.T) {
+	start := starter(t)
+	executor, joins := executorPeer(t, "WELCOME steady 5\r\n")
+	_, signals, done := start(executor)
+	<-joins
+	late := now(syscall.SIGTERM)
+	late.at -= 1e7 - 2000 // of the 1e7 ms from the notice to the stop
+	signals <- late
+	select {
+	case err := <-done:
+		if err != nil {
+			t.Error(err)
+		}
+	case <-time.After(time.Minute):
+		t.Error("still there, long after its time")
+	}
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -181,8 +181,8 @@
 // Away answers checks with a bad state, or no longer does, by an operator's order; what comes is served all the same.
 func (c *Core) Away(away bool) { c.away.Store(away) }
 
-// Drain tells the module that the process will be stopped at that time.
-func (c *Core) Drain(stopAt float64) { c.inbox.Put(event{drain: stopAt, told: c.clock.Now()}) }
+// Drain tells the module that the process will be stopped at that time, and when it was told so.
+func (c *Core) Drain(told, stopAt float64) { c.inbox.Put(event{drain: stopAt, told: told}) }
 
 // Health answers a check: from the module's setting, or where that says so by real work.
 func (c *Core) Health(deep bool, answer func(good bool)) {
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -294,7 +294,7 @@
 	in, release := make(chan struct{}), make(chan struct{})
 	r.Then(func() { close(in); <-release })
 	<-in
-	r.Drain(begin + 9000)
+	r.Drain(begin, begin+9000)
 	r.clock.Set(begin + 200)
 	close(release)
 	handled := make(chan struct{})
--- a/internal/core/drain.go
+++ b/internal/core/drain.go
@@ -26,11 +26,11 @@
 	Close()
 }
 
-// Leave carries out the notice to drain: the module hears it, callers are asked to stay away, and all that was
+// Leave carries out the notice to drain, which came at that time: the module hears it, callers are asked to stay away, and all that was
 // read, or waits in a listening queue, gets its answer before the process is stopped.
-func (c *Core) Leave(stopMs float64, fronts ...Front) {
-	stopAt := c.clock.Now() + stopMs
-	c.Drain(stopAt)
+func (c *Core) Leave(told, stopMs float64, fronts ...Front) {
+	stopAt := told + stopMs
+	c.Drain(told, stopAt)
 	for _, f := range fronts {
 		f.Drain()
 	}
@@ -46,18 +46,17 @@
 	}
 }
 
-// Yield carries out the notice to a process that was replaced by another on the same listening sockets. It is no
-// drain: checks keep their state, since to callers the two are one order server.
-func (c *Core) Yield(fronts ...Front) {
+// Yield carries out the notice, which came at that time, to a process that was replaced by another on the same listening
+// sockets. It is no drain: checks keep their state, since to callers the two are one order server.
+func (c *Core) Yield(told float64, fronts ...Front) {
 	longest := clock.Millis(time.Duration(c.lasts.Load()))
-	begun := c.clock.Now()
-	stopAt := begun + min(longest, yieldLong) + yieldMore
+	stopAt := told + min(longest, yieldLong) + yieldMore
 	c.yields.Store(true)
-	c.Drain(stopAt)
+	c.Drain(told, stopAt)
 	for _, f := range fronts {
 		f.Yield()
 	}
-	c.calm(stopAt-leaveMs, begun+yieldLeast, fronts)
+	c.calm(stopAt-leaveMs, told+yieldLeast, fronts)
 	c.log.Info().Int("owed", c.Owed()).Msg("leaving to the successor")
 	for _, f := range fronts {
 		f.Shut()
--- a/internal/net/fronts_test.go
+++ b/internal/net/fronts_test.go
@@ -153,7 +153,7 @@
 	x.want("EXEC", id(1))
 	half := h.gateway(packet("b", "ORDER_CLASS", "book-delivery")[:20], false)
 	left := make(chan struct{})
-	go func() { h.core.Leave(1500, h.resp, h.uw); close(left) }()
+	go func() { h.core.Leave(clock.System().Now(), 1500, h.resp, h.uw); close(left) }()
 	p.want("0", "closing")
 	booking := h.gateway(packet("c", "ORDER_CLASS", "book-delivery", "ORDER_ID", id(3)), false)
 	x.want("EXEC", id(3))
--- a/internal/net/keyed_test.go
+++ b/internal/net/keyed_test.go
@@ -120,7 +120,7 @@
 		set.Classes[1]}
 	h.core.Adopt(set)
 	p.pay(2, 2, start, "ab", "a")
-	h.core.Drain(start + 9000)
+	h.core.Drain(start, start+9000)
 	p.pay(3, 3, start, "ab", "a")
 	p.unrun(x, 8, 8, start)
 	x.notice("EXIT", id(1)+" success 1", "A")
--- a/internal/net/rare_test.go
+++ b/internal/net/rare_test.go
@@ -19,7 +19,7 @@
 	t.Helper()
 	left = make(chan struct{})
 	go func() {
-		h.core.Leave(1200, h.resp)
+		h.core.Leave(start, 1200, h.resp)
 		close(left)
 	}()
 	p.want("0", "closing")
