Let the ties of keyed tries hold where new settings have their class no more

Left open by reading: after SIGHUP a class may be gone, or its tries tied no more. translate looked at the class in force, so a repeat of one that ran came to the module as of an unknown class and was refused though it ran, or ran a second time where the class was safe by now. The rule on duplicates goes by the try that ran, not by what is in force. The table keeps the class with the entry, and a request whose once it knows within the window is answered from it past the module: with the result, or, while the first runs or had another body, as failed. TestTiesHoldWhereTheClassWent does both; without the look at the table it gets no answer, since the run that it sees begun a second time is never ended.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -346,6 +346,18 @@
 				return nil
 			}
 		} else {
+			if e := c.keys.tied(q); e != nil {
+				// New settings have its class no more, or tie its tries no more; what one of them did still holds. The
+				// module would refuse this one, or run it.
+				l.class, l.known = e.class, true
+				if result, ok := e.served(c.keys.sum(q)); ok {
+					l.begun = true
+					l.box.Put(shared{ok: true, result: result})
+				} else {
+					l.box.Put(policy.Fail{})
+				}
+				return nil
+			}
 			ev.Original, ev.Repeats = c.keys.original(l, now)
 		}
 		if q.Wait > 0 {
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -307,3 +307,42 @@
 	r.end(<-r.hand.started, "A", 1)
 	r.want("2 0 A")
 }
+
+// New settings have the class of a payment no more, or tie its tries no more: its result is still what another try of it
+// gets, one that comes while it runs fails, and none of them is refused or run. Each was refused, or run again.
+func TestTiesHoldWhereTheClassWent(t *testing.T) {
+	pay := policy.Class{Name: "pay", Aim: 2 * time.Second, Deadline: 5 * time.Second, Worth: 4, Safety: policy.Keyed, KeyTTL: 30 * time.Second}
+	safe := pay
+	safe.Safety = policy.Safe
+	for what, after := range map[string][]policy.Class{"gone": testSettings.Classes, "safe by now": append(slices.Clone(testSettings.Classes), safe)} {
+		r := newRig(t, nil)
+		set := testSettings
+		set.Classes = append(slices.Clone(set.Classes), pay)
+		r.Adopt(set)
+		try := func(id int, once, body string) {
+			r.Open(&Request{ID: fmt.Sprintf("%016x", id), Class: "pay", At: begin, Wait: 3000, KB: 1, Once: once, Body: []byte(body)}, func(o Outcome) {
+				r.answers <- fmt.Sprintf("%d %d %s", id, o.Verdict, o.Result)
+			})
+		}
+		try(1, "aa", "a")
+		r.end(<-r.hand.started, "A", 1)
+		r.want("1 0 A")
+		try(2, "bb", "b")
+		runs := <-r.hand.started
+		set.Classes = after
+		r.Adopt(set)
+		try(3, "aa", "a")
+		r.want("3 0 A")
+		try(4, "aa", "another")
+		r.want(fmt.Sprintf("4 %d ", Failed))
+		try(5, "bb", "b")
+		r.want(fmt.Sprintf("5 %d ", Failed))
+		r.end(runs, "B", 1)
+		r.want("2 0 B")
+		try(6, "bb", "b")
+		r.want("6 0 B")
+		if f := r.Figures(); f.Tries != 2 {
+			t.Errorf("%s: %d runs", what, f.Tries)
+		}
+	}
+}
--- a/internal/core/keys.go
+++ b/internal/core/keys.go
@@ -47,8 +47,9 @@
 	made    float64 // when the result was made, no later than it truly was
 	result  []byte
 
-	until float64 // keyed: no try that reached the machine up to then may run
-	body  uint64  // keyed: sum of the body, which all tries share
+	until float64      // keyed: no try that reached the machine up to then may run
+	body  uint64       // keyed: sum of the body, which all tries share
+	class policy.Class // keyed: its class, which new settings may not have
 }
 
 func newKeyTable(fresh float64, room int) keyTable {
@@ -84,7 +85,7 @@
 	}
 	if of.keyed {
 		window, deadline := clock.Millis(l.class.KeyTTL), clock.Millis(l.class.Deadline)
-		e.until, e.body = l.req.At+window+keyedSlack, maphash.Bytes(t.seed, l.req.Body)
+		e.until, e.body, e.class = l.req.At+window+keyedSlack, t.sum(l.req), l.class
 		// A try that reached the machine within the window may be read up to its deadline later.
 		e.expires = e.until + deadline + keyedSlack
 		if t.used+e.size() > t.room {
@@ -132,9 +133,9 @@
 // the same request.
 func (t *keyTable) try(l *Life) (first policy.ID, repeats, same bool) {
 	of, _ := keyOf(l)
-	body := maphash.Bytes(t.seed, l.req.Body)
-	e := t.byKey[of]
-	if e == nil || l.req.At > e.until {
+	body := t.sum(l.req)
+	e := t.tied(l.req)
+	if e == nil {
 		if e = t.claims[of]; e == nil {
 			t.claims[of] = &entry{id: l.id, body: body}
 			return 0, false, true
@@ -143,6 +144,25 @@
 	return e.id, true, e.body == body
 }
 
+// tied is the try of a keyed request in whose window this one came, whatever the settings say of its class by now.
+func (t *keyTable) tied(q *Request) *entry {
+	if q.Once == "" {
+		return nil
+	}
+	if e := t.byKey[classKey{q.Class, q.Once, true}]; e != nil && q.At <= e.until {
+		return e
+	}
+	return nil
+}
+
+// sum tells bodies apart.
+func (t *keyTable) sum(q *Request) uint64 { return maphash.Bytes(t.seed, q.Body) }
+
+// served is the result that other tries with the same body are answered with.
+func (e *entry) served(body uint64) ([]byte, bool) {
+	return e.result, e.ended && e.good && e.body == body
+}
+
 // ended keeps the result of a remembered run. One of which nothing ran ties no other try to it.
 func (t *keyTable) ended(f policy.Finished, n Notice) {
 	e := t.byID[f.ID]
