End no connection in the middle of a command that a router may still complete

The library looks at the time first, so where the process gets no time until both are there, a whole request that had come in time was closed on unread. - Half a command ended the reading after 2 s, on a router's connection too. A network that is cut for longer brings the rest later, and completes a request on a connection that the server still holds for its open ones. - io.ErrUnexpectedEOF, an end within a line, passed for a broken connection and open requests lost their answers, where an end between two lines (io.EOF) left them. Now the socket is read once more in the step that ends the reading; a connection that was served, or has requests open, is waited for as long as routers keep connections by the settings; both ends count as plain. Bad clients: one that was never served has its 2 s as before, and none of theirs is ever served. Tests on real sockets, each seen to fail without its part: TestWhatCameInTimeIsReadLate (the bytes lie in the socket and the time is an hour past), TestHalfACommandOfARouterIsWaitedFor, TestEndWithinACommandLeavesTheRest.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -43,6 +43,7 @@
 	owed   atomic.Int64 // requests that still wait for their answer
 	counts counts
 	lasts  atomic.Int64 // the longest deadline of a class, in nanoseconds
+	rests  atomic.Int64 // how long callers keep a connection that carries nothing, in nanoseconds
 	up     atomic.Bool  // the runner was up once
 	yields atomic.Bool  // a successor took over: the module's state of draining is no state of the server
 	away   atomic.Bool  // operators want callers to stay away
@@ -120,6 +121,7 @@
 		lasts = max(lasts, k.Deadline)
 	}
 	c.lasts.Store(int64(lasts))
+	c.rests.Store(int64(set.Idle))
 	if c.module == nil {
 		return
 	}
@@ -205,6 +207,9 @@
 // CloseIdle is the span in milliseconds after which idle connections are to be closed; 0: the callers do it.
 func (c *Core) CloseIdle() float64 { return clock.Millis(time.Duration(c.idle.Load())) }
 
+// Rests is how long callers keep a connection that carries nothing; 0: not told.
+func (c *Core) Rests() time.Duration { return time.Duration(c.rests.Load()) }
+
 // begin records an effect before its run.
 func (c *Core) begin(q *Request, k policy.Class) (bool, error) {
 	if k.Safety == policy.Safe {
--- a/internal/net/respfront/front.go
+++ b/internal/net/respfront/front.go
@@ -245,46 +245,84 @@
 var errFaults = errors.New("too many requests that make no sense")
 
 // Read bounds for how long a command may be on its way.
-func (c *conn) Read(b []byte) (int, error) {
-	var limit time.Time
-	switch {
-	case !c.spoke: // only the reader sets it
-		limit = c.since.Add(firstFor)
-	case c.within:
-		limit = c.since.Add(wholeFor)
-	}
-	c.nc.SetReadDeadline(limit)
+func (c *conn) Read(b []byte) (n int, err error) {
 	within := c.within
-	n, err := c.take(b)
+	for n == 0 && err == nil {
+		c.nc.SetReadDeadline(c.limit())
+		if n, err = c.take(b); errors.Is(err, os.ErrDeadlineExceeded) {
+			n, err = c.last(b)
+		}
+	}
 	if !within && c.spoke {
 		c.since = time.Now()
 	}
 	return n, err
 }
 
-// take reads what there is. That bytes were taken out of the socket is noted in the same step.
+// limit is when a command has to be whole, or the first of a connection. Half a command keeps a place and a buffer; of a
+// router that was served here, or whose requests are open, it is taken for one on a network that is cut, and its rest is
+// waited for as long as routers keep connections: what it completes is then owed an answer.
+func (c *conn) limit() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case !c.spoke:
+		return c.since.Add(firstFor)
+	case !c.within:
+		return time.Time{}
+	case c.served || len(c.open) > 0:
+		return c.since.Add(max(wholeFor, c.front.core.Rests()))
+	}
+	return c.since.Add(wholeFor)
+}
+
+// take reads what there is.
 func (c *conn) take(b []byte) (n int, err error) {
 	closed := c.raw.Read(func(fd uintptr) bool {
-		c.mu.Lock()
-		defer c.mu.Unlock()
-		if c.broken {
-			n, err = 0, net.ErrClosed
-			return true
+		n, err = c.pull(fd, b)
+		return err != syscall.EAGAIN
+	})
+	if closed != nil {
+		return 0, closed
+	}
+	return n, err
+}
+
+// last takes what came before the time was up. A process that got no time meanwhile finds both at once, and the library
+// looks at the time first: a whole request would be closed on. Where there is nothing, no more is taken from now on, or,
+// with neither bytes nor an error, the limit is a later one by now.
+func (c *conn) last(b []byte) (n int, err error) {
+	closed := c.raw.Control(func(fd uintptr) {
+		if n, err = c.pull(fd, b); err != syscall.EAGAIN {
+			return
 		}
-		for n, err = syscall.Read(int(fd), b); err == syscall.EINTR; n, err = syscall.Read(int(fd), b) {
+		n, err = 0, nil
+		if limit := c.limit(); !limit.IsZero() && !limit.After(time.Now()) {
+			err = os.ErrDeadlineExceeded
 		}
-		c.within = c.within || n > 0
-		return err != syscall.EAGAIN
 	})
-	switch n = max(n, 0); {
-	case closed != nil:
+	if closed != nil {
 		return 0, closed
-	case n == 0 && err == nil:
-		return 0, io.EOF
 	}
 	return n, err
 }
 
+// pull reads once, without waiting. That bytes were taken out of the socket is noted in the same step.
+func (c *conn) pull(fd uintptr, b []byte) (n int, err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.broken {
+		return 0, net.ErrClosed
+	}
+	for n, err = syscall.Read(int(fd), b); err == syscall.EINTR; n, err = syscall.Read(int(fd), b) {
+	}
+	c.within = c.within || n > 0
+	if n == 0 && err == nil {
+		err = io.EOF
+	}
+	return max(n, 0), err
+}
+
 // read takes commands until the router ends the connection or sends what is none.
 func (c *conn) read() {
 	err := c.commands()
@@ -292,7 +330,8 @@
 	c.ended = true
 	var left []*core.Life
 	c.within = false
-	if err != io.EOF && !errors.Is(err, os.ErrDeadlineExceeded) && err != errFaults {
+	plain := err == io.EOF || err == io.ErrUnexpectedEOF // between two commands, or within one
+	if !plain && !errors.Is(err, os.ErrDeadlineExceeded) && err != errFaults {
 		// Broken, or not understood: nobody reads answers here any more. After a plain end the router may
 		// still do so, and an answer that nobody wants does no harm. The same holds where a command got stuck, or
 		// too many made no sense: what was read before is owed its answer, and the connection ends after that.
--- a/internal/net/respfront/front_test.go
+++ b/internal/net/respfront/front_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
+	"os"
 	"runtime"
 	"testing"
 	"time"
@@ -36,12 +38,14 @@
 }
 
 // one builds a front with room for one connection, on a clock that the test sets.
-func one(t *testing.T) (*Front, *clock.Clock) {
+func one(t *testing.T) (*Front, *clock.Clock) { return oneWith(t, echo{}) }
+
+func oneWith(t *testing.T, runner core.Runner) (*Front, *clock.Clock) {
 	clk := clock.Manual(start)
 	c := core.New(clk, zerolog.Nop(), policy.Settings{
 		Classes: []policy.Class{{Name: "read", Aim: time.Minute, Deadline: time.Minute, Worth: 1}},
-		Cores:   8, MemoryKB: 1e6, RunFactor: 4, FallMultiple: 8, BusyGauge: -1, RunnableGauge: -1, MemoryGauge: -1, ConnGauge: -1,
-	}, 1, echo{}, echo{}, nil)
+		Cores:   8, MemoryKB: 1e6, RunFactor: 4, FallMultiple: 8, BusyGauge: -1, RunnableGauge: -1, MemoryGauge: -1, ConnGauge: -1, Idle: 15 * time.Second,
+	}, 1, runner, echo{}, nil)
 	c.Up(false)
 	go c.Run()
 	ln, err := accept.Listen("127.0.0.1:0", zerolog.Nop())
@@ -188,3 +192,116 @@
 		runtime.Gosched()
 	}
 }
+
+// slow is a Runner whose runs the test ends.
+type slow struct {
+	echo
+	started chan *core.Attempt
+}
+
+func (s slow) Start(a *core.Attempt) { s.started <- a }
+
+// A router ends its side in the middle of a command, while its request runs: what it still reads is the answer. Where
+// the end fell between two lines it got one, within a line it did not.
+func TestEndWithinACommandLeavesTheRest(t *testing.T) {
+	half := req(2)
+	for _, n := range []int{1, len("*5\r\n$3\r\n"), len("*5\r\n$3\r\nRE"), len(half) - 2} {
+		s := slow{started: make(chan *core.Attempt, 2)}
+		f, _ := oneWith(t, s)
+		conn := dial(t, f)
+		io.WriteString(conn, req(1))
+		run := <-s.started
+		c := only(f)
+		io.WriteString(conn, half[:n])
+		conn.(*net.TCPConn).CloseWrite()
+		for ended := false; !ended; runtime.Gosched() {
+			c.mu.Lock()
+			ended = c.ended
+			c.mu.Unlock()
+		}
+		run.Notify(core.Notice{Ended: true, Outcome: policy.OK, Body: pool.Copy([]byte("b"))})
+		want(t, conn, done(1))
+		if n, err := io.Copy(io.Discard, conn); n > 0 || err != nil {
+			t.Errorf("%d bytes more, %v", n, err)
+		}
+	}
+}
+
+// pair is a connection with both its ends, of which nobody reads the server's but the test.
+func pair(t *testing.T, f *Front) (client net.Conn, c *conn) {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	if client, err = net.Dial("tcp", ln.Addr().String()); err != nil {
+		t.Fatal(err)
+	}
+	nc, err := ln.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { client.Close(); nc.Close() })
+	c = &conn{front: f, nc: nc, open: map[uint64]*core.Life{}, kick: make(chan struct{}, 1)}
+	if c.raw, err = nc.(*net.TCPConn).SyscallConn(); err != nil {
+		t.Fatal(err)
+	}
+	return client, c
+}
+
+// A request lies in the socket when its time is over, since the process got none to read it: it was closed on unread.
+func TestWhatCameInTimeIsReadLate(t *testing.T) {
+	f, _ := one(t)
+	for _, within := range []bool{false, true} {
+		client, c := pair(t, f)
+		c.spoke, c.within, c.since = within, within, time.Now().Add(-time.Hour)
+		io.WriteString(client, "rest")
+		for accept.Quiet(c.nc) {
+			runtime.Gosched()
+		}
+		b := make([]byte, 10)
+		if n, err := c.Read(b); string(b[:n]) != "rest" || err != nil {
+			t.Errorf("read %q, %v", b[:n], err)
+		}
+		c.since = time.Now().Add(-time.Hour)
+		if n, err := c.Read(b); n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
+			t.Errorf("nothing there: %d bytes, %v", n, err)
+		}
+	}
+}
+
+// The network is cut in the middle of a router's command, for seconds: on a connection that served it, or on which its
+// request runs, the rest is waited for as long as routers keep connections. It was closed on, and a request that its rest
+// had completed was lost. Who was never served has less.
+func TestHalfACommandOfARouterIsWaitedFor(t *testing.T) {
+	f, _ := one(t)
+	since := time.Now().Add(-wholeFor - time.Second)
+	for _, served := range []bool{true, false} {
+		client, c := pair(t, f)
+		c.spoke, c.within, c.served, c.since = true, true, served, since
+		if !served {
+			c.open[1] = nil
+		}
+		read := make(chan string, 1)
+		go func() {
+			b := make([]byte, 10)
+			n, err := c.Read(b)
+			read <- fmt.Sprint(string(b[:n]), err)
+		}()
+		select {
+		case got := <-read:
+			t.Errorf("given up: %s", got)
+		case <-time.After(50 * time.Millisecond): // what gives up does so at once
+			io.WriteString(client, "rest")
+			if got := <-read; got != "rest<nil>" {
+				t.Errorf("read %s", got)
+			}
+		}
+	}
+	_, c := pair(t, f)
+	c.spoke, c.within, c.since = true, true, since
+	if _, err := c.Read(make([]byte, 10)); !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("one that was never served: %v", err)
+	}
+}
