Refuse a class name that is not one word, which the executor's lines can't carry

A name with a space or an end of line, from settings of another customer, went into EXEC as it is; the executor closes its link on what is no command, and would at each try. Now the file is refused at a start or SIGHUP and the message names the class and the key.

--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"strings"
+	"unicode"
 
 	"github.com/valyala/fastjson"
 
@@ -89,6 +91,10 @@
 	}
 	k := policy.Class{Name: c.Text("name"), Aim: c.Span("aim"), AimStretch: c.Number("aimStretch"), Deadline: c.Span("deadline"),
 		Worth: c.Number("worth"), LateValue: c.Number("lateValue"), KeyTTL: c.Span("keyTtl")}
+	// The executor's lines are of words: a name with a space or an end of line would be other words there.
+	if k.Name == "" || strings.ContainsFunc(k.Name, func(r rune) bool { return unicode.IsSpace(r) || unicode.IsControl(r) }) {
+		c.Fail("name", "is not one word")
+	}
 	switch c.Text("idempotency") {
 	case "safe":
 	case "keyed":
