Tell a successor which keyed tries ran, and begin none beside it

Left open before: the ties of keyed tries lay in one process. Forced with two servers on real sockets: before, the second begins id 11, another try of id 1 that the first had run. Lines at fault: main.serve and handover.give passed sockets and one byte; core.keyTable was filled from own runs alone. Now the newer process, right before it serves, gets the tries that ran or run, with results (core.HandOn, Inherit), on the handover's connection. In that same step the older stops beginning what is keyed: it is refused, unrun, with when to come back. Repeats that either knows are answered by it; of one still on at the older, the newer fails them. When the successor ends, what it began is unknown, so the window passes first. Beside an earlier build, which tells nothing, the newer begins nothing keyed until that has gone and the window has passed. Not taken: sending each end on as it comes, so that repeats wait for it; a second's overlap is not worth a second protocol. Tests, each seen to fail without its part: TestTiesGoToASuccessor, TestNothingKeyedBesideOneThatTellsNothing, TestWhoTellsNothingIsKnownForIt. Two crossings that were right: TestLastLookBesideASuccessor, TestNoticeToLeaveBeforeServing.

TestRunningProcessIsReplaced gave its notice to leave once the third process's module had begun, before that had said that it serves; on an idle machine the first then drained as one that nobody replaces, and the test hung (8 of 8 runs). It now waits for that word first, as the platform does, and checks all that it did.

--- a/cmd/puffinsaddle/main.go
+++ b/cmd/puffinsaddle/main.go
@@ -158,17 +158,18 @@
 	var offer *handover.Offer // written before ready, read after
 	var ready atomic.Bool
 	serve := func() {
+		succeed(c, given.tie, log)
 		for _, f := range fronts {
 			go f.Serve()
 		}
 		if given.path != "" {
-			if offer, err = handover.New(given.path, sockets, log); err != nil {
+			if offer, err = handover.New(given.path, sockets, func() []byte { return handOn(c, log) }, c.TakeBack, log); err != nil {
 				note(log, err) // then this process can't be replaced while it runs
 			}
 		}
-		handover.Serving(given.tie)
 		ready.Store(true)
 	}
+	go c.Run()
 	if !given.any() {
 		serve()
 	}
@@ -196,7 +197,6 @@
 		go func() { note(log, ops.Serve()) }()
 		defer ops.Close(ctx)
 	}
-	go c.Run()
 	up := make(chan struct{}, 1)
 	rise = func(cold bool) {
 		c.Up(cold)
@@ -387,6 +387,33 @@
 	return i, nil
 }
 
+// handOn is what a successor has to know of the keyed requests that ran here.
+func handOn(c *core.Core, log zerolog.Logger) []byte {
+	text, err := json.Marshal(c.HandOn())
+	note(log, err) // it has no number that is none, so there is none
+	return text
+}
+
+// succeed takes over what the process before this one, if there is any, knows of its keyed requests. One that tells
+// nothing may go on beginning some: then none is begun here before it has gone and their time has passed.
+func succeed(c *core.Core, tie net.Conn, log zerolog.Logger) {
+	if tie == nil {
+		return
+	}
+	var ties []core.Tie
+	text, told := handover.Serving(tie)
+	if told && json.Unmarshal(text, &ties) == nil {
+		c.Inherit(ties)
+		return
+	}
+	log.Warn().Msg("the process before this one does not tell what it ran")
+	c.HandOn()
+	go func() {
+		handover.Gone(tie)
+		c.TakeBack()
+	}()
+}
+
 // inventoried lists the uwsgi servers that the operator's file and its inventory name, and the inventory.
 func inventoried(o config.Operator) (servers []string, hosts *inventory.Inventory, err error) {
 	servers = slices.Clone(o.UWSGI.Servers)
--- a/cmd/puffinsaddle/main_test.go
+++ b/cmd/puffinsaddle/main_test.go
@@ -17,6 +17,8 @@
 
 	"puffinsaddle/internal/clock"
 	"puffinsaddle/internal/config"
+	"puffinsaddle/internal/core"
+	"puffinsaddle/policy"
 )
 
 const text = `{"name":"n1","listen":"127.0.0.1:0","executor":%q,"vault":"127.0.0.1:1","members":%q,"stop_ms":1e7,
@@ -192,6 +194,7 @@
 	third, _ := executorPeer(t, "WELCOME steady 5\r\n")
 	taking, _, _ := start(third)
 	taking.want(t, "module started")
+	lines.want(t, "a successor serves") // the notice comes once the second says that it is ready
 	ask()
 	signals <- now(syscall.SIGTERM)
 	lines.want(t, "replaced")
@@ -229,6 +232,40 @@
 	}
 }
 
+// The notice to leave comes to a process that has the sockets and does not serve yet: it ends, and the one that it was to
+// replace goes on, with its queue, and is no longer replaced.
+func TestNoticeToLeaveBeforeServing(t *testing.T) {
+	start := starter(t)
+	first, _ := executorPeer(t, "WELCOME steady 5\r\n")
+	lines, signals, _ := start(first)
+	_, at, _ := strings.Cut(lines.want(t, "serving routers"), `"at":"`)
+	at, _, _ = strings.Cut(at, `"`)
+	second, joins := executorPeer(t, "")
+	_, signals2, done2 := start(second)
+	<-joins
+	lines.want(t, "handed to a successor")
+	late := now(syscall.SIGTERM)
+	late.at -= 1e7 - 500 // of the 1e7 ms from the notice to the stop
+	signals2 <- late
+	if err := <-done2; err != nil {
+		t.Errorf("the second ended with %v", err)
+	}
+	conn, err := net.Dial("tcp", at)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	conn.SetDeadline(time.Now().Add(time.Minute))
+	const healthy = "*3\r\n$1\r\n1\r\n$7\r\nhealthy\r\n"
+	io.WriteString(conn, "*2\r\n$6\r\nHEALTH\r\n$1\r\n1\r\n")
+	b := make([]byte, len(healthy))
+	if _, err := io.ReadFull(conn, b); err != nil || string(b) != healthy {
+		t.Errorf("answered %q, %v", b, err)
+	}
+	signals <- now(syscall.SIGTERM)
+	lines.want(t, "draining")
+}
+
 // The notice to leave comes while notices to read the file again have filled what holds them: it was dropped.
 func TestNoticeToLeaveIsNeverDropped(t *testing.T) {
 	signals, seen := caught(clock.System()), make(chan os.Signal, 1)
@@ -363,3 +400,67 @@
 		t.Error("still there, long after its time")
 	}
 }
+
+// idle is a runner that tells of each start.
+type idle struct{ starts chan string }
+
+func (i idle) Start(a *core.Attempt)              { i.starts <- a.Request.ID }
+func (idle) Return(*core.Attempt, uint64, []byte) {}
+func (idle) Skip(*core.Attempt, uint64)           {}
+func (idle) Drop(*core.Attempt)                   {}
+func (idle) Meter(func([]float64))                {}
+func (idle) Diagnose(func(bool)) bool             { return false }
+
+// A process replaces one of an earlier build, which tells nothing of what it ran and goes on beginning it: no payment is
+// begun until that one has gone and the time of its payments has passed.
+func TestNothingKeyedBesideOneThatTellsNothing(t *testing.T) {
+	old, tie := net.Pipe()
+	go func() {
+		b := make([]byte, 1)
+		old.Read(b)
+		old.Write(b)
+	}()
+	clk, starts := clock.Manual(1.7e12), make(chan string, 1)
+	c := core.New(clk, zerolog.Nop(), policy.Settings{
+		Classes: []policy.Class{{Name: "pay", Aim: time.Minute, Deadline: time.Minute, Worth: 1, Safety: policy.Keyed, KeyTTL: time.Second}},
+		Cores:   8, MemoryKB: 1e6, RunFactor: 4, FallMultiple: 8, BusyGauge: -1, RunnableGauge: -1, MemoryGauge: -1, ConnGauge: -1,
+	}, 1, idle{starts}, nil, nil)
+	c.Up(false)
+	go c.Run()
+	t.Cleanup(c.Stop)
+	answers := make(chan core.Verdict, 1)
+	n := 0
+	pay := func() {
+		n++
+		id := fmt.Sprintf("%016x", n)
+		c.Open(&core.Request{ID: id, Class: "pay", At: clk.Now(), KB: 1, Once: id}, func(o core.Outcome) { answers <- o.Verdict })
+	}
+	lines := make(logLines, 10)
+	succeed(c, tie, zerolog.New(lines))
+	lines.want(t, "does not tell")
+	pay()
+	select {
+	case v := <-answers:
+		if v != core.Refused {
+			t.Fatalf("beside it: %v", v)
+		}
+	case <-starts:
+		t.Fatal("begun beside it")
+	}
+	old.Close()
+	for beside := true; beside; { // until that is known, the time does not begin
+		in := make(chan struct{})
+		c.Then(func() { close(in) })
+		<-in
+		clk.Set(clk.Now() + 1200)
+		pay()
+		select {
+		case v := <-answers:
+			if v != core.Refused {
+				t.Fatalf("after it: %v", v)
+			}
+		case <-starts:
+			beside = false
+		}
+	}
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -147,15 +147,26 @@
 	}
 	c.owed.Add(1)
 	c.counts.active.Add(1)
-	for c.lastID++; c.lastID == 0 || c.lives[c.lastID] != nil; c.lastID++ { // 0 stands for none
-	}
-	l.id, l.owed, l.counted = c.lastID, true, true
+	l.id, l.owed, l.counted = c.nextID(), true, true
 	c.lives[l.id], c.byWire[q.ID] = l, l
 	c.mu.Unlock()
 	go l.serve()
 	return l
 }
 
+// nextID is a number that no open request has; 0 stands for none. The lock is held.
+func (c *Core) nextID() policy.ID {
+	for c.lastID++; c.lastID == 0 || c.lives[c.lastID] != nil; c.lastID++ {
+	}
+	return c.lastID
+}
+
+func (c *Core) newID() policy.ID {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.nextID()
+}
+
 func (c *Core) leave(l *Life) {
 	l.settle()
 	pool.Put(l.req.Body) // whatever ran has ended, and the runner has copied what it still sends
@@ -382,7 +393,7 @@
 	case policy.Start:
 		if l := c.life(a.ID); l != nil {
 			l.begun = true
-			if l.unkept {
+			if !c.keys.mayBegin(l, now) {
 				l.box.Put(full{})
 			} else {
 				l.box.Put(a)
@@ -404,7 +415,7 @@
 		c.order(a.ID, a)
 	case policy.Remember:
 		if l := c.life(a.ID); l != nil {
-			l.unkept = !c.keys.remember(l, now+clock.Millis(a.Span))
+			c.keys.remember(l, now+clock.Millis(a.Span))
 		}
 	case policy.Forget:
 		c.keys.forget(a.ID)
--- a/internal/core/keys.go
+++ b/internal/core/keys.go
@@ -3,7 +3,7 @@
 import (
 	"encoding/hex"
 	"fmt"
-	"hash/maphash"
+	"hash/fnv"
 	"sync"
 
 	"puffinsaddle/internal/clock"
@@ -27,7 +27,8 @@
 	room   int // bytes for what is keyed
 	used   int
 	looked float64 // when what has had its time was last dropped
-	seed   maphash.Seed
+	others int     // processes beside this one that begin what is keyed: then this one begins nothing
+	blind  float64 // nor up to then: one that went may have, and told nothing of it
 	byKey  map[classKey]*entry
 	byID   map[policy.ID]*entry
 	claims map[classKey]*entry // keyed requests of one call of the module, which has not ordered to remember them yet
@@ -50,10 +51,11 @@
 	until float64      // keyed: no try that reached the machine up to then may run
 	body  uint64       // keyed: sum of the body, which all tries share
 	class policy.Class // keyed: its class, which new settings may not have
+	begun bool         // keyed: its run was ordered
 }
 
 func newKeyTable(fresh float64, room int) keyTable {
-	return keyTable{fresh: fresh, room: room, seed: maphash.MakeSeed(), byKey: map[classKey]*entry{}, byID: map[policy.ID]*entry{},
+	return keyTable{fresh: fresh, room: room, byKey: map[classKey]*entry{}, byID: map[policy.ID]*entry{},
 		claims: map[classKey]*entry{}}
 }
 
@@ -73,11 +75,11 @@
 	return entryBytes + mostResult
 }
 
-// remember keeps an entry; false: there is no room, so what is keyed must not begin.
-func (t *keyTable) remember(l *Life, expires float64) bool {
+// remember keeps an entry, where there is room.
+func (t *keyTable) remember(l *Life, expires float64) {
 	of, tied := keyOf(l)
 	if !tied {
-		return true
+		return
 	}
 	e := &entry{id: l.id, of: of, expires: expires}
 	if old := t.byKey[of]; old != nil {
@@ -89,14 +91,13 @@
 		// A try that reached the machine within the window may be read up to its deadline later.
 		e.expires = e.until + deadline + keyedSlack
 		if t.used+e.size() > t.room {
-			return false
+			return
 		}
 		t.used += e.size()
 	} else if len(t.byKey) >= mostKeys {
-		return true
+		return
 	}
 	t.byKey[of], t.byID[l.id] = e, e
-	return true
 }
 
 func (t *keyTable) forget(id policy.ID) {
@@ -155,8 +156,107 @@
 	return nil
 }
 
-// sum tells bodies apart.
-func (t *keyTable) sum(q *Request) uint64 { return maphash.Bytes(t.seed, q.Body) }
+// sum tells bodies apart, to a successor's process as well.
+func (t *keyTable) sum(q *Request) uint64 {
+	h := fnv.New64a()
+	h.Write(q.Body)
+	return h.Sum64()
+}
+
+// mayBegin tells whether a request may start: one that is keyed needs an entry that ties its tries, and that no other
+// process begins them too. False: it never ran, and is not to.
+func (t *keyTable) mayBegin(l *Life, now float64) bool {
+	if l.class.Safety != policy.Keyed {
+		return true
+	}
+	e := t.byID[l.id]
+	if e == nil || t.others > 0 || now < t.blind {
+		return false
+	}
+	e.begun = true
+	return true
+}
+
+// Tie is what a process tells its successor of a try that it ran, or runs: with the two beside each other, callers see one
+// server, on which no other try of the same request may run.
+type Tie struct {
+	Class   policy.Class
+	Once    string
+	Until   float64
+	Expires float64
+	Body    uint64
+	Good    bool // it ended well, with this result; else its end is not known here
+	Result  []byte
+}
+
+// ties lists the tries that ran or run.
+func (t *keyTable) ties() []Tie {
+	list := []Tie{}
+	for _, e := range t.byID {
+		if e.of.keyed && e.begun {
+			list = append(list, Tie{e.class, e.of.key, e.until, e.expires, e.body, e.ended && e.good, e.result})
+		}
+	}
+	return list
+}
+
+// take keeps a tie of another process. It is kept whatever room there is: what ran, ran.
+func (t *keyTable) take(id policy.ID, tie Tie) {
+	e := &entry{id: id, of: classKey{tie.Class.Name, tie.Once, true}, expires: tie.Expires, ended: true, good: tie.Good,
+		result: tie.Result, until: tie.Until, body: tie.Body, class: tie.Class, begun: true}
+	if old := t.byKey[e.of]; old != nil {
+		t.forget(old.id)
+	}
+	t.byKey[e.of], t.byID[id] = e, e
+	t.used += e.size()
+}
+
+// HandOn lists the ties for another process that is about to serve beside this one. From then on this one begins nothing
+// keyed, until TakeBack.
+func (c *Core) HandOn() (ties []Tie) {
+	c.ask(func() {
+		c.keys.others++
+		ties = c.keys.ties()
+	})
+	return ties
+}
+
+// TakeBack tells that the other process is gone. What it began is not known here, so the time has to pass in which another
+// try of that may come.
+func (c *Core) TakeBack() {
+	c.Then(func() {
+		c.keys.others--
+		longest := 0.0
+		for _, k := range c.class {
+			if k.Safety == policy.Keyed {
+				longest = max(longest, clock.Millis(k.KeyTTL)+keyedSlack)
+			}
+		}
+		if longest > 0 {
+			c.log.Warn().Float64("ms", longest).Msg("no keyed request is begun for so long: what another process ran is not known here")
+			c.keys.blind = c.clock.Now() + longest
+		}
+	})
+}
+
+// Inherit takes over the ties of the process before this one.
+func (c *Core) Inherit(ties []Tie) {
+	c.ask(func() {
+		for _, tie := range ties {
+			c.keys.take(c.newID(), tie)
+		}
+	})
+}
+
+// ask calls back on the owner's goroutine and waits for that; not once Run has ended.
+func (c *Core) ask(call func()) {
+	done := make(chan struct{})
+	c.Then(func() { call(); close(done) })
+	select {
+	case <-done:
+	case <-c.stop:
+	}
+}
 
 // served is the result that other tries with the same body are answered with.
 func (e *entry) served(body uint64) ([]byte, bool) {
--- a/internal/core/life.go
+++ b/internal/core/life.go
@@ -26,7 +26,6 @@
 	counted  bool // it was taken, and so is active until it ends
 	ended    atomic.Bool
 	begun    bool // the owner's: a Start was ordered
-	unkept   bool // the owner's: of a keyed class, and there is no room to remember it
 	goneOnce sync.Once
 }
 
@@ -134,7 +133,7 @@
 			return
 		case full:
 			// A further try would not be known for one, and run again. Safety before service.
-			c.log.Warn().Str("id", l.req.ID).Str("class", l.req.Class).Msg("no room to remember its tries, so not run")
+			c.log.Warn().Str("id", l.req.ID).Str("class", l.req.Class).Msg("its tries can't be tied (no room, or a process beside this one), so not run")
 			l.answer(Outcome{Verdict: Refused, After: ledgerPause})
 			c.tell(l, policy.Finished{ID: l.id, Outcome: policy.Moot})
 			return
--- a/internal/net/handover/handover.go
+++ b/internal/net/handover/handover.go
@@ -1,11 +1,16 @@
 // Package handover passes listening sockets from a running process to the one that replaces it, over a Unix
 // socket in a folder that only these two share. Both then hold the same sockets with the same queues: what one
 // has not accepted the other does, so no connection is lost when the older closes its own.
+//
+// The newer one sends a byte when it is about to serve. Up to format 1 the older answers the same byte. From 2 on it
+// answers toldAll, a length in eight bytes and what the newer needs to know, as text.
 package handover
 
 import (
+	"encoding/binary"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"os"
 	"strings"
@@ -20,16 +25,25 @@
 	takeFor  = time.Second // a process that does not answer in this time is none
 	mostText = 4 << 10     // bytes of the addresses
 	mostFD   = 8
+
+	tellFor  = 5 * time.Second // what is told may be megabytes
+	mostTold = 1 << 30         // bytes of it
+	format   = 2
+	toldAll  = 3
 )
 
 // Offer hands the sockets to whoever asks.
 type Offer struct {
 	ln         *net.UnixListener
 	successors atomic.Int32
+	know       func() []byte
+	gone       func()
 }
 
-// New offers listening sockets, by the addresses they were opened for, at a path. What stands there is replaced: it is what an earlier process left.
-func New(path string, sockets map[string]*net.TCPListener, log zerolog.Logger) (*Offer, error) {
+// New offers listening sockets, by the addresses they were opened for, at a path. What stands there is replaced: it is
+// what an earlier process left. Asked for by a successor that is about to serve, know is what that one needs to know; gone
+// is called once it has ended.
+func New(path string, sockets map[string]*net.TCPListener, know func() []byte, gone func(), log zerolog.Logger) (*Offer, error) {
 	if err := os.Remove(path); err != nil && !errors.Is(err, os.ErrNotExist) {
 		return nil, err
 	}
@@ -38,7 +52,7 @@
 		return nil, err
 	}
 	ln.SetUnlinkOnClose(false) // by then the successor's may stand there
-	o := &Offer{ln: ln}
+	o := &Offer{ln: ln, know: know, gone: gone}
 	go func() {
 		for {
 			conn, err := ln.AcceptUnix()
@@ -82,9 +96,17 @@
 	if n, _ := conn.Read(b[:]); n == 0 {
 		return
 	}
+	defer o.gone() // last of all
+	text := o.know()
 	o.successors.Add(1)
 	defer o.successors.Add(-1)
-	conn.Write(b[:])
+	log.Info().Int("bytes", len(text)).Msg("a successor serves")
+	answer := b[:] // an earlier build wants no more
+	if b[0] >= format {
+		answer = append(binary.BigEndian.AppendUint64([]byte{toldAll}, uint64(len(text))), text...)
+	}
+	conn.SetWriteDeadline(time.Now().Add(tellFor))
+	conn.Write(answer)
 	conn.Read(b[:])
 }
 
@@ -101,15 +123,35 @@
 	return fd, err
 }
 
-// Serving tells the process that gave the sockets that this one serves from now on, and waits, for a while, until that has
-// heard it: a notice to leave must not find it unaware. One that went needs to hear nothing.
-func Serving(tie net.Conn) {
-	if tie == nil {
-		return
-	}
+// Serving tells the process that gave the sockets that this one is about to serve, and waits, for a while, until that has
+// heard it: a notice to leave must not find it unaware. What it tells in turn is the text; false: it told nothing, since it
+// went, or hangs, or is of an earlier build, and may still begin what it will not tell.
+func Serving(tie net.Conn) (text []byte, told bool) {
 	tie.SetDeadline(time.Now().Add(takeFor))
-	tie.Write([]byte{1})
-	tie.Read(make([]byte, 1))
+	defer tie.SetDeadline(time.Time{})
+	if _, err := tie.Write([]byte{format}); err != nil {
+		return nil, false
+	}
+	var head [9]byte
+	if _, err := io.ReadFull(tie, head[:1]); err != nil || head[0] != toldAll {
+		return nil, false
+	}
+	tie.SetDeadline(time.Now().Add(tellFor))
+	if _, err := io.ReadFull(tie, head[1:]); err != nil {
+		return nil, false
+	}
+	size := binary.BigEndian.Uint64(head[1:])
+	if size > mostTold {
+		return nil, false
+	}
+	text = make([]byte, size)
+	_, err := io.ReadFull(tie, text)
+	return text, err == nil
+}
+
+// Gone waits until the process before this one has ended.
+func Gone(tie net.Conn) {
+	io.Copy(io.Discard, tie)
 }
 
 // Taken tells whether a successor that serves on the sockets is alive. To one that has them and does not serve yet, the
--- a/internal/net/keyed_test.go
+++ b/internal/net/keyed_test.go
@@ -1,12 +1,19 @@
 package net_test
 
 import (
+	"encoding/json"
 	"fmt"
+	"net"
+	"path/filepath"
 	"slices"
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"puffinsaddle/internal/clock"
+	"puffinsaddle/internal/core"
+	"puffinsaddle/internal/net/handover"
 	"puffinsaddle/policy"
 )
 
@@ -188,3 +195,101 @@
 		p.want(fmt.Sprint(10+i), "done", "", "C")
 	}
 }
+
+// A process is replaced beside itself while payments run: to callers the two are one server, so what the first ran or runs
+// the second does not run again, and what comes to the first from then on it does not begin. The second knew of nothing.
+// When the second ends, the time has to pass in which another try of what it ran may come.
+func TestTiesGoToASuccessor(t *testing.T) {
+	x, h, clk := keyed(t, nil)
+	p := h.router()
+	p.pay(1, 1, start, "aa", "a")
+	x.want("EXEC", id(1))
+	x.notice("EXIT", id(1)+" success 1", odd)
+	p.want("1", "done", "", odd)
+	p.pay(2, 2, start, "bb", "a")
+	x.want("EXEC", id(2))
+
+	path, ln := filepath.Join(t.TempDir(), "n1.handover"), newExecutor(t).ln.(*net.TCPListener)
+	gone := make(chan struct{})
+	_, err := handover.New(path, map[string]*net.TCPListener{"there": ln}, func() []byte {
+		text, err := json.Marshal(h.core.HandOn())
+		must(t, err)
+		return text
+	}, func() { h.core.TakeBack(); h.core.Then(func() { close(gone) }) }, zerolog.Nop())
+	must(t, err)
+	sockets, tie, err := handover.Take(path)
+	if must(t, err); len(sockets) != 1 {
+		t.Fatalf("%d sockets", len(sockets))
+	}
+	sockets["there"].Close()
+	p.pay(3, 3, start, "cc", "a") // the second does not serve yet
+	x.want("EXEC", id(3))
+	text, told := handover.Serving(tie)
+	var ties []core.Tie
+	if err := json.Unmarshal(text, &ties); err != nil || !told || len(ties) != 3 {
+		t.Fatalf("told %v: %s, %v", told, text, err)
+	}
+
+	x2 := newExecutor(t)
+	set := settings
+	set.Classes = append(slices.Clone(set.Classes), policy.Class{Name: "pay", Aim: 6 * time.Second, Deadline: 8 * time.Second,
+		Worth: 4, LateValue: 1, Safety: policy.Keyed, KeyTTL: window * time.Millisecond})
+	h2 := withExecutorBy(t, clk, set, x2, "127.0.0.1:1")
+	x2.welcome(0)
+	x2.pass()
+	h2.core.Inherit(ties)
+	q := h2.router()
+	q.pay(11, 11, start, "aa", "a")
+	q.want("11", "done", "", odd)
+	q.pay(12, 12, start, "aa", "another body")
+	q.want("12", "error")
+	for i, once := range []string{"bb", "cc"} { // what became of them is not known here
+		q.pay(13+i, 13+i, start, once, "a")
+		q.want(fmt.Sprint(13+i), "error")
+	}
+	q.pay(15, 15, start, "dd", "a")
+	x2.want("EXEC", id(15)) // none before it was begun
+
+	p.pay(4, 4, start, "ee", "a")
+	p.want("4", "later")
+	p.unrun(x, 5, 5, start)
+	p.pay(6, 6, start, "aa", "a")
+	p.want("6", "done", "", odd)
+	x.notice("EXIT", id(2)+" success 1", "B")
+	p.want("2", "done", "", "B")
+	p.pay(7, 7, start, "bb", "a")
+	p.want("7", "done", "", "B")
+
+	tie.Close()
+	<-gone
+	p.pay(8, 8, start, "dd", "a")
+	p.want("8", "later")
+	clk.Set(start + window + 101)
+	p = h.router() // the other was idle for long
+	p.pay(9, 9, start+window+101, "dd", "a")
+	x.want("EXEC", id(9))
+}
+
+// The process before is of an earlier build, which says what it hears, or it goes while it is asked: it tells nothing.
+func TestWhoTellsNothingIsKnownForIt(t *testing.T) {
+	for _, answer := range []string{"\x02", "\x02\x00\x00\x00\x00\x00\x00\x00\x00", "", "\x03\x00\x00", "\x03\xff\x00\x00\x00\x00\x00\x00\x00"} {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		must(t, err)
+		t.Cleanup(func() { ln.Close() })
+		go func() {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			conn.Read(make([]byte, 1))
+			conn.Write([]byte(answer))
+			conn.Close()
+		}()
+		tie, err := net.Dial("tcp", ln.Addr().String())
+		must(t, err)
+		if text, told := handover.Serving(tie); told {
+			t.Errorf("after %q: told %q", answer, text)
+		}
+		tie.Close()
+	}
+}
--- a/internal/net/rare_test.go
+++ b/internal/net/rare_test.go
@@ -54,6 +54,33 @@
 	<-left
 }
 
+// The same where the process was replaced: it asks its callers to go to the successor, and what crosses that is read by a
+// process that waits for nothing else.
+func TestLastLookBesideASuccessor(t *testing.T) {
+	x, h, clk := keyed(t, nil)
+	p := h.router()
+	p.send("HEALTH", "1")
+	p.want("1", "healthy")
+	left := make(chan struct{})
+	go func() {
+		h.core.Yield(start, h.resp)
+		close(left)
+	}()
+	p.want("0", "closing")
+	clk.Set(start + 999) // from the next one on it may end, once calm
+	p.req(1, 1, "book-delivery", fmt.Sprintf(",at=%.0f", start+999), "a")
+	x.want("EXEC", id(1))
+	for now := 1000.0; now < 3600; now += 100 {
+		clk.Set(start + now)
+		p.send("HEALTH", "2") // its connection is there, and answers
+		p.want("2", "healthy")
+	}
+	x.notice("EXIT", id(1)+" success 1", "A")
+	p.want("1", "done", "", "A")
+	clk.Set(start + 4000)
+	<-left
+}
+
 // Requests that the executor knows nothing of: what waits beside them fails, what comes after them fails unread by the
 // module, and what runs is answered by its run. Reading ends where they don't stop. A connection on which something was
 // served is not held to this. All used to be cut off, true requests among them.
