Know another executor that begins cold for cold

Left open before: executor.Link knows another executor by its age, and its WELCOME says booting, but Core.Up was heard once and the module kept the warmth of the first. A cold machine falls under a crowd that a warm one takes (rules.coldShare), so the rule on falling over covers it. Ruled out: a link that broke, or an executor that was booting at its start; by its age it is no other. The link tells up whether another welcomes it; Core.Anew has the module count its warmth from then (Restarted; warmth in policy.go goes by coldFrom in place of born, which is the same until then). TestAnotherExecutorIsCold: a second request beside the first is refused unrun; without the change it ran and failed.

--- a/cmd/puffinsaddle/main.go
+++ b/cmd/puffinsaddle/main.go
@@ -134,7 +134,12 @@
 	var link *executor.Link
 	var farm *uwsgi.Runner
 	if cfg.Executor != "" {
-		link = executor.New(cfg.Executor, log, func(cold bool, ageMs float64) { rise(cold) })
+		link = executor.New(cfg.Executor, log, func(cold, another bool) {
+			if another {
+				c.Anew(cold)
+			}
+			rise(cold)
+		})
 		runner = link
 	}
 	if len(servers) > 0 { // the operator's choice of who does the work comes first
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -74,6 +74,7 @@
 	event  policy.Event // nil: only look at the time
 	notice Notice       // of a run's end
 	start  bool         // the runner is up
+	anew   bool         // it is another one than before
 	cold   bool
 	drain  float64          // when the process will be stopped
 	told   float64          // when that was said
@@ -185,6 +186,9 @@
 	c.up.Store(true)
 }
 
+// Anew tells that another runner has taken the place of the one before; it is up.
+func (c *Core) Anew(cold bool) { c.inbox.Put(event{anew: true, cold: cold}) }
+
 // Ready tells whether requests can be served: the runner was up once.
 func (c *Core) Ready() bool { return c.up.Load() }
 
@@ -274,6 +278,12 @@
 		switch {
 		case e.start:
 			c.start(now, e.cold)
+		case e.anew:
+			c.handle(now)
+			if c.module != nil && e.cold { // it survives less than the one before, which may have been warm
+				c.log.Info().Msg("cold again")
+				c.module.Restarted(clock.Duration(now - c.born))
+			}
 		case e.set != nil:
 			c.handle(now) // what came before keeps its class
 			c.adopt(*e.set)
--- a/internal/net/executor/executor.go
+++ b/internal/net/executor/executor.go
@@ -38,7 +38,7 @@
 	Silent time.Duration // a link that brings nothing for so long after its WELCOME is made anew; set before Run
 
 	log  zerolog.Logger
-	up   func(cold bool, ageMs float64)
+	up   func(cold, another bool)
 	kick chan struct{}
 
 	mu      sync.Mutex
@@ -50,6 +50,7 @@
 	out     []byte    // commands for the writer
 	last    uint64    // the last notice that was read
 	met     time.Time // when an executor last welcomed us
+	another bool      // the one that welcomes us next is another
 	seq     uint64
 	runs    map[string]*run
 	acks    map[string]*run // by tag of the METER behind a reply that was handed to it
@@ -68,8 +69,8 @@
 	ack     string // tag of the METER that went out behind it
 }
 
-// New makes a link; up is called at each WELCOME.
-func New(address string, log zerolog.Logger, up func(cold bool, ageMs float64)) *Link {
+// New makes a link; up is called at each WELCOME, and told whether another executor than at the last one gives it.
+func New(address string, log zerolog.Logger, up func(cold, another bool)) *Link {
 	return &Link{Silent: silentFor, address: address, leave: func() {}, log: log, up: up, kick: make(chan struct{}, 1), runs: map[string]*run{},
 		acks: map[string]*run{}, meters: map[string]func([]float64){}, checks: map[string]func(bool){}}
 }
@@ -324,7 +325,7 @@
 	l.met = now
 	var gone []*run
 	if another {
-		l.last = 0
+		l.last, l.another = 0, true
 		for id, r := range l.runs {
 			if r.begun {
 				gone = append(gone, r)
@@ -355,7 +356,11 @@
 		if l.anew(time.Now(), ms) {
 			return errAnew
 		}
-		l.up(w[1] == "booting", ms)
+		l.mu.Lock()
+		another := l.another
+		l.another = false
+		l.mu.Unlock()
+		l.up(w[1] == "booting", another)
 		l.mu.Lock()
 		defer l.mu.Unlock()
 		// What the executor got of the last link's commands shows only in its notices. The answer to
--- a/internal/net/peers_test.go
+++ b/internal/net/peers_test.go
@@ -104,7 +104,12 @@
 
 func executorHouse(t *testing.T, clk *clock.Clock, settings policy.Settings, x *executorPeer, vaultAt string, hand func(*core.Core), change ...func(*executor.Link)) *house {
 	var c *core.Core
-	link := executor.New(x.ln.Addr().String(), zerolog.Nop(), func(cold bool, _ float64) { c.Up(cold) })
+	link := executor.New(x.ln.Addr().String(), zerolog.Nop(), func(cold, another bool) {
+		if another {
+			c.Anew(cold)
+		}
+		c.Up(cold)
+	})
 	link.Silent = time.Hour // the script answers only while a test asks it to
 	for _, c := range change {
 		c(link)
--- a/internal/net/rare_test.go
+++ b/internal/net/rare_test.go
@@ -212,6 +212,43 @@
 	p.want("3", "done", "", "C")
 }
 
+// The other executor begins cold, on a machine that falls under what the warm one before it took: a second request was
+// begun beside the first as before.
+func TestAnotherExecutorIsCold(t *testing.T) {
+	set := settings
+	set.Cores, set.ColdShare, set.Cold = 1, 0, time.Hour
+	x := newExecutor(t)
+	h := withExecutorBy(t, clock.System(), set, x, "127.0.0.1:1")
+	x.welcome(0)
+	x.pass()
+	p := h.router()
+	for n := 1; n <= 2; n++ { // the warm one takes both
+		p.req(n, n, "book-delivery", "", "a")
+		x.want("EXEC", id(n))
+	}
+	x.cut()
+	x.want("JOIN", "0")
+	time.Sleep(1100 * time.Millisecond) // an executor takes a while to begin, which its age shows
+	x.say("WELCOME booting 0")
+	for range 2 {
+		if a := p.answer(); a[1] != "error" {
+			t.Errorf("answered %q", a)
+		}
+	}
+	x.want("JOIN", "0")
+	x.say("WELCOME booting 0")
+	x.pass()
+	handled := make(chan struct{})
+	h.core.Then(func() { close(handled) })
+	<-handled
+	p.req(3, 3, "book-delivery", "", "c")
+	x.want("EXEC", id(3))
+	p.req(4, 4, "book-delivery", ",wait=500", "d")
+	p.want("4", "later") // it never ran
+	x.notice("EXIT", id(3)+" success 1", "C")
+	p.want("3", "done", "", "C")
+}
+
 // A router gives up just as the answer comes: whichever the server hears of first, there is one answer at most, and the
 // connection goes on.
 func TestGivingUpAgainstTheAnswer(t *testing.T) {
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -137,7 +137,7 @@
 func (n *Instance) Handle(now time.Duration, events []Event) []Action {
 	n.out = n.out[:0]
 	if !n.begun {
-		n.begun, n.now, n.born = true, now, now
+		n.begun, n.now, n.born, n.coldFrom = true, now, now, now
 		n.windowEnd = now + windowSpan
 		n.do(Health{Shallow: true, Good: true}) // checks must not cost work or load what lies below
 	}
@@ -733,7 +733,7 @@
 	if !n.set.JustStarted || n.set.Cold <= 0 {
 		return 1
 	}
-	return min(float64(n.now-n.born)/float64(n.set.Cold), 1)
+	return min(float64(n.now-n.coldFrom)/float64(n.set.Cold), 1)
 }
 
 // short tells that reading takes much of the cores: what is refused here and tried again is read at
--- a/policy/settings.go
+++ b/policy/settings.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"math"
+	"time"
 )
 
 // check names the first setting that makes no sense.
@@ -67,6 +68,9 @@
 	}
 }
 
+// Restarted tells that the machine has begun anew just now, and cold. What it ran has ended, by events of its own.
+func (n *Instance) Restarted(now time.Duration) { n.set.JustStarted, n.coldFrom = true, now }
+
 // BelowTime tells how long calls below were in hand over the span of the rule, and how long that is: their ratio is
 // what this server has used of its share.
 func (n *Instance) BelowTime() (inHand, span float64) {
--- a/policy/state.go
+++ b/policy/state.go
@@ -91,6 +91,7 @@
 	out      []Action
 	now      time.Duration
 	born     time.Duration
+	coldFrom time.Duration // when the machine began, where it was just started
 	begun    bool
 	seq      uint64
 
