--- a/internal/core/drain.go
+++ b/internal/core/drain.go
@@ -26,8 +26,8 @@
 	Close()
 }
 
-// Leave carries out the notice to drain, which came at that time: the module hears it, callers are asked to stay away, and all that was
-// read, or waits in a listening queue, gets its answer before the process is stopped.
+// Leave carries out the notice to drain, which came at that time: the module hears it, callers are asked to stay away, and
+// all that was read, or waits in a listening queue, gets its answer before the process is stopped.
 func (c *Core) Leave(told, stopMs float64, fronts ...Front) {
 	stopAt := told + stopMs
 	c.Drain(told, stopAt)
--- a/internal/core/life.go
+++ b/internal/core/life.go
@@ -33,7 +33,7 @@
 	callerGone struct{}
 	dismissed  struct{} // the module closed the books on a request that it never started
 	spurned    struct{} // it is not to be begun
-	full       struct{} // it was to start, and could not be remembered
+	full       struct{} // it was to start, and its tries can't be tied
 	shared     struct { // a result of the same read, or of another try
 		ok     bool
 		result []byte
