Have a run's failed end in the books before its caller hears of it

For a keyed try whose run was never started (EXIT nothing) that is a fault of the program: the next try, which its caller sends at once, was taken to repeat a run that goes on, and failed with it. Ruled out: the table's room and the freshness rule, which are as the tests say. Life.serve now tells an end that is no success before it answers. A success still answers first: its result is the buffer that goes on to the owner. TestAnotherTryComesWithTheAnswer opens the next try within the answer; without the change nothing is begun.

--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -66,6 +66,15 @@
 	a.Notify(Notice{Ended: true, Outcome: policy.OK, Took: took, Body: pool.Copy([]byte(result))})
 }
 
+// through waits until so many requests are left in hand: what comes then comes behind the ends of the others.
+func (r *rig) through(left int) {
+	for open := left + 1; open > left; runtime.Gosched() {
+		r.mu.Lock()
+		open = len(r.lives)
+		r.mu.Unlock()
+	}
+}
+
 func (r *rig) want(answer string) {
 	r.t.Helper()
 	if got := <-r.answers; got != answer {
@@ -96,6 +105,7 @@
 	r.clock.Set(begin + 450)
 	r.end(other, "C", 10) // its notice came late: made at 10, so no longer fresh at 440
 	r.want("3 0 C")
+	r.through(0) // else the next may come before the end is in the books, and wait for a run that goes on
 	r.open(6, "read", "other", begin+440)
 	r.end(<-r.hand.started, "D", 1)
 	r.want("6 0 D")
@@ -329,6 +339,7 @@
 		r.want("1 0 A")
 		try(2, "bb", "b")
 		runs := <-r.hand.started
+		r.through(1)
 		set.Classes = after
 		r.Adopt(set)
 		try(3, "aa", "a")
@@ -339,6 +350,7 @@
 		r.want(fmt.Sprintf("5 %d ", Failed))
 		r.end(runs, "B", 1)
 		r.want("2 0 B")
+		r.through(0)
 		try(6, "bb", "b")
 		r.want("6 0 B")
 		if f := r.Figures(); f.Tries != 2 {
@@ -346,3 +358,30 @@
 		}
 	}
 }
+
+// A run was never started, and its caller sends another try in the moment in which it hears so: that one runs. It was taken
+// to repeat a run that goes on, and failed with it.
+func TestAnotherTryComesWithTheAnswer(t *testing.T) {
+	r := newRig(t, nil)
+	set := testSettings
+	set.Classes = []policy.Class{{Name: "pay", Aim: 2 * time.Second, Deadline: 5 * time.Second, Worth: 1, Safety: policy.Keyed, KeyTTL: 10 * time.Second}}
+	r.Adopt(set)
+	try := func(id int) *Request {
+		return &Request{ID: fmt.Sprintf("%016x", id), Class: "pay", At: begin, Wait: 3000, KB: 1, Once: "ab"}
+	}
+	heard := make(chan string, 1)
+	r.Open(try(1), func(Outcome) {
+		r.Open(try(2), func(Outcome) {})
+		select {
+		case a := <-r.hand.started:
+			heard <- a.Request.ID
+		case <-time.After(10 * time.Second):
+			heard <- "nothing"
+		}
+	})
+	a := <-r.hand.started
+	a.Notify(Notice{Ended: true, Outcome: policy.Moot})
+	if got := <-heard; got != try(2).ID {
+		t.Errorf("begun: %s", got)
+	}
+}
--- a/internal/core/life.go
+++ b/internal/core/life.go
@@ -179,13 +179,8 @@
 				c.tell(l, policy.CallNeeded{ID: l.id})
 				continue
 			}
-			switch {
-			case m.Outcome == policy.OK:
+			if m.Outcome == policy.OK {
 				l.answer(Outcome{Verdict: Served, Result: m.Body})
-			case m.Forged:
-				l.answer(Outcome{Verdict: Failed, Forged: true})
-			case !gone:
-				l.fail()
 			}
 			pool.Put(at.Body)
 			if at, ok := c.ledger.(Settled); ok && l.class.Safety != policy.Safe {
@@ -193,6 +188,14 @@
 			}
 			m.Made = min(c.clock.Now(), begun+m.Took) // a late notice must not make the result look fresher
 			c.finish(l, m)
+			// Behind the end: another try that its caller sends at once must not find this one running, and fail for it.
+			switch {
+			case m.Outcome == policy.OK:
+			case m.Forged:
+				l.answer(Outcome{Verdict: Failed, Forged: true})
+			case !gone:
+				l.fail()
+			}
 			return
 		case policy.CallOut:
 			giveUp() // a second call for one request gives up the first
--- a/internal/net/keyed_test.go
+++ b/internal/net/keyed_test.go
@@ -180,6 +180,8 @@
 	p.unrun(x, 8, 8, start)
 	x.notice("EXIT", id(1)+" success 1", "A")
 	p.want("1", "done", "", "A")
+	p.pay(30, 30, start, "aa", "a") // answered once the end is in the books, and what it took is free
+	p.want("30", "done", "", "A")
 	p.pay(3, 3, start, "bb", "a")
 	x.want("EXEC", id(3))
 	p.pay(4, 4, start, "aa", "a")
@@ -193,6 +195,8 @@
 		x.want("EXEC", id(10+i))
 		x.notice("EXIT", id(10+i)+" success 1", "C")
 		p.want(fmt.Sprint(10+i), "done", "", "C")
+		p.pay(40+i, 40+i, start+window+9000, once, "a")
+		p.want(fmt.Sprint(40+i), "done", "", "C")
 	}
 }
 
@@ -206,6 +210,8 @@
 	x.want("EXEC", id(1))
 	x.notice("EXIT", id(1)+" success 1", odd)
 	p.want("1", "done", "", odd)
+	p.pay(10, 10, start, "aa", "a") // answered once the end is in the books
+	p.want("10", "done", "", odd)
 	p.pay(2, 2, start, "bb", "a")
 	x.want("EXEC", id(2))
 
