Force blocked reports, reports through a replacement, and a file read that hangs

The code was right. - TestNoticeToLeaveCountsFromWhenItCame handed in a notice dated back; now the read itself hangs past the notice's time, on a clock that the test sets. Without the fix it is still there a minute later. Not forced: that caught() notes each kind of signal at once.

--- a/cmd/puffinsaddle/main_test.go
+++ b/cmd/puffinsaddle/main_test.go
@@ -143,7 +143,11 @@
 
 // starter starts processes beside each other, with a folder that they share.
 func starter(t *testing.T) func(executor string) (logLines, chan notice, chan error) {
-	private, members := t.TempDir(), membersPeer(t)
+	return starterBy(t, membersPeer(t))
+}
+
+func starterBy(t *testing.T, members net.PacketConn) func(executor string) (logLines, chan notice, chan error) {
+	private := t.TempDir()
 	return func(executor string) (logLines, chan notice, chan error) {
 		path := filepath.Join(t.TempDir(), "config.json")
 		if err := os.WriteFile(path, []byte(fmt.Sprintf(text, executor, members.LocalAddr())), 0o600); err != nil {
@@ -166,7 +170,8 @@
 // up. The first is then no longer needed: it asks its callers to go, and ends by itself. Nobody is ever refused a
 // connection, and checks are answered well all the while.
 func TestRunningProcessIsReplaced(t *testing.T) {
-	start := starter(t)
+	members := membersPeer(t)
+	start := starterBy(t, members)
 	const check, healthy = "*2\r\n$6\r\nHEALTH\r\n$1\r\n1\r\n", "*3\r\n$1\r\n1\r\n$7\r\nhealthy\r\n"
 	first, _ := executorPeer(t, "WELCOME steady 5\r\n")
 	lines, signals, done := start(first)
@@ -202,6 +207,12 @@
 		t.Errorf("the first ended with %v", err)
 	}
 	ask()
+	// The list follows the reports of all: none says that the server leaves, and they go on without the first.
+	for ended := time.Now(); time.Since(ended) < 500*time.Millisecond; {
+		if got := report(t, members); got != "HB n1 UP" {
+			t.Fatalf("reported %q", got)
+		}
+	}
 }
 
 // The notice to leave comes when a second process has the sockets and its executor is not up, so that it does not serve:
@@ -381,16 +392,36 @@
 	}
 }
 
-// The notice to leave comes while the file is read again, and the program gets to it a minute late: its time counts from
-// when it came, not from then, or it would be stopped with requests in hand.
+// The notice to leave comes while the file is read again, which hangs until the notice's time is over: that counts from when
+// it came, not from when the program gets to it, or it would be stopped with requests in hand.
 func TestNoticeToLeaveCountsFromWhenItCame(t *testing.T) {
-	start := starter(t)
+	path := filepath.Join(t.TempDir(), "config.json")
 	executor, joins := executorPeer(t, "WELCOME steady 5\r\n")
-	_, signals, done := start(executor)
+	if err := os.WriteFile(path, []byte(fmt.Sprintf(text, executor, membersPeer(t).LocalAddr())), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	load := func() (*config.Config, error) {
+		return config.Load(func(k string) string { return map[string]string{"RELAY_CONFIG": path}[k] })
+	}
+	cfg, err := load()
+	if err != nil {
+		t.Fatal(err)
+	}
+	reading, read := make(chan struct{}), make(chan struct{})
+	hangs := func() (*config.Config, error) {
+		close(reading)
+		<-read
+		return load()
+	}
+	clk, lines, signals, done := clock.Manual(1.7e12), make(logLines, 1000), make(chan notice), make(chan error, 1)
+	go func() { done <- run(cfg, hangs, signals, clk, zerolog.New(lines)) }()
 	<-joins
-	late := now(syscall.SIGTERM)
-	late.at -= 1e7 - 2000 // of the 1e7 ms from the notice to the stop
-	signals <- late
+	signals <- notice{syscall.SIGHUP, clk.Now()}
+	<-reading
+	leave := notice{syscall.SIGTERM, clk.Now()}
+	clk.Set(1.7e12 + 1e7 + 1) // its 1e7 ms are over
+	close(read)
+	signals <- leave
 	select {
 	case err := <-done:
 		if err != nil {
--- a/internal/net/members/members.go
+++ b/internal/net/members/members.go
@@ -16,6 +16,7 @@
 type Reporter struct {
 	name  string
 	every time.Duration
+	dial  func(address string) (net.Conn, error)
 	kick  chan struct{} // report now
 
 	mu      sync.Mutex
@@ -25,7 +26,8 @@
 
 // New makes a reporter.
 func New(address, name string) *Reporter {
-	return &Reporter{address: address, name: name, every: every, kick: make(chan struct{}, 1)}
+	return &Reporter{address: address, name: name, every: every, kick: make(chan struct{}, 1),
+		dial: func(address string) (net.Conn, error) { return net.Dial("udp", address) }}
 }
 
 // Leave makes further reports say that the order server leaves.
@@ -79,7 +81,7 @@
 		// goes out again at once on a new socket, so that a service that comes back hears the first one after that.
 		for try := 0; try < 2 && at != ""; try++ {
 			if conn == nil {
-				if conn, _ = net.Dial("udp", at); conn == nil {
+				if conn, _ = r.dial(at); conn == nil {
 					break
 				}
 			}
--- a/internal/net/members/members_test.go
+++ b/internal/net/members/members_test.go
@@ -55,3 +55,24 @@
 	r.Move(other.LocalAddr().String())
 	want(t, other, "HB n1 OUT")
 }
+
+// A report finds its way blocked, and those after it vanish unheard: neither holds up the ones to come.
+func TestReportsComeBehindOneThatIsBlocked(t *testing.T) {
+	c := listen(t, "127.0.0.1:0")
+	r := New(c.LocalAddr().String(), "n1")
+	r.every = time.Millisecond
+	udp, blocked := r.dial, true
+	r.dial = func(address string) (net.Conn, error) {
+		if !blocked {
+			return udp(address)
+		}
+		blocked = false
+		near, far := net.Pipe() // of which nobody reads
+		t.Cleanup(func() { far.Close() })
+		return near, nil
+	}
+	go r.Run(t.Context())
+	for range 20 { // none gets an answer
+		want(t, c, "HB n1 UP")
+	}
+}
--- a/internal/net/rare_test.go
+++ b/internal/net/rare_test.go
@@ -7,10 +7,12 @@
 	"net/http"
 	"slices"
 	"strconv"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"puffinsaddle/internal/clock"
+	"puffinsaddle/internal/core"
 	"puffinsaddle/policy"
 )
 
@@ -55,6 +57,17 @@
 	<-left
 }
 
+// looked is a front that counts how often the process looks whether it is through.
+type looked struct {
+	core.Front
+	looks atomic.Int64
+}
+
+func (l *looked) Flushed() bool {
+	l.looks.Add(1)
+	return l.Front.Flushed()
+}
+
 // The same where the process was replaced: it asks its callers to go to the successor, and what crosses that is read by a
 // process that waits for nothing else.
 func TestLastLookBesideASuccessor(t *testing.T) {
@@ -62,19 +75,24 @@
 	p := h.router()
 	p.send("HEALTH", "1")
 	p.want("1", "healthy")
-	left := make(chan struct{})
+	front, left := &looked{Front: h.resp}, make(chan struct{})
 	go func() {
-		h.core.Yield(start, h.resp)
+		h.core.Yield(start, front)
 		close(left)
 	}()
 	p.want("0", "closing")
 	clk.Set(start + 999) // from the next one on it may end, once calm
 	p.req(1, 1, "book-delivery", fmt.Sprintf(",at=%.0f", start+999), "a")
 	x.want("EXEC", id(1))
-	for now := 1000.0; now < 3600; now += 100 {
+	for now := 1000.0; now < 3600; now += 200 {
 		clk.Set(start + now)
-		p.send("HEALTH", "2") // its connection is there, and answers
-		p.want("2", "healthy")
+		for n := front.looks.Load() + 2; front.looks.Load() < n; time.Sleep(time.Millisecond) {
+			select {
+			case <-left:
+				t.Fatalf("left after %.0f ms, with a request that runs", now)
+			default:
+			}
+		}
 	}
 	x.notice("EXIT", id(1)+" success 1", "A")
 	p.want("1", "done", "", "A")
