Let heartbeats, lapses, shares and acts cost no walk of the fleet

Cause: under each heartbeat Table.HeldBy walked all leases twice (Grantor.Take, Answer), Grantor.Turn walked and sorted all leases at each of 50 ticks a second, allot.Book.Set summed the whole book at each step, and state.act copied the book for every act, also where it touched no share.

Change: an index of leases by holder past 32 leases, built once and kept by the steps of the log; a bound before which no lease can lapse, so that all are walked only once it has passed; a running sum of the book; the book is copied only for acts on shares. Along the way: an order whose entry was not confirmed stayed under way until another copy led (Grantor.asked); it is cleared once the next entry shows what came of it.

--- a/internal/allot/allot.go
+++ b/internal/allot/allot.go
@@ -55,6 +55,9 @@
 	Pool    int64             `json:"pool"`
 	Version uint64            `json:"version"`
 	Shares  map[string]*Share `json:"shares"`
+
+	summed bool  // sum holds; else it has to be built from Shares
+	sum    int64 // of all Caps
 }
 
 // NewBook is an empty book.
@@ -71,11 +74,21 @@
 }
 
 // Sum is the most that can be in force now.
-func (b *Book) Sum() (sum int64) {
+func (b *Book) Sum() int64 {
+	if b.summed {
+		return b.sum
+	}
+	b.sum, b.summed = 0, true
 	for _, s := range b.Shares {
-		sum += s.Cap
+		b.sum += s.Cap
 	}
-	return sum
+	return b.sum
+}
+
+// setCap changes the most that one process may have in force.
+func (b *Book) setCap(s *Share, most int64) {
+	b.sum = b.Sum() + most - s.Cap
+	s.Cap = most
 }
 
 // SetPool changes what there is to divide; less only once that much is free.
@@ -96,7 +109,12 @@
 }
 
 // Drop closes an entry: the process's presence has ended, and with it its share.
-func (b *Book) Drop(who string) { delete(b.Shares, who) }
+func (b *Book) Drop(who string) {
+	if s := b.Shares[who]; s != nil {
+		b.setCap(s, 0)
+		delete(b.Shares, who)
+	}
+}
 
 // Set changes what a process shall have. A growth counts at once and needs the room; a cut counts once the process has
 // said that it holds, so until then nobody else can have what it gives up.
@@ -114,14 +132,14 @@
 	}
 	b.Version++
 	s.Want, s.Version = amount, b.Version
-	s.Cap = max(s.Cap, amount)
+	b.setCap(s, max(s.Cap, amount))
 	return nil
 }
 
 // Ack books that a process uses no more than it shall by a version.
 func (b *Book) Ack(who string, version uint64) {
 	if s := b.Shares[who]; s != nil && s.Version == version {
-		s.Cap = s.Want
+		b.setCap(s, s.Want)
 	}
 }
 
--- a/internal/duty/grantor.go
+++ b/internal/duty/grantor.go
@@ -3,7 +3,9 @@
 import (
 	"hash/fnv"
 	"maps"
+	"math"
 	"slices"
+	"strings"
 )
 
 // Beat is what an order server says in one message: what it renews, gives back and stands for. A beat may come late,
@@ -62,6 +64,8 @@
 	given  map[string]heard            // leases granted in this office, and when
 	deaf   map[string]uint64           // leases, by epoch, that their holder does not seem to know of
 	shun   map[string]shunned          // who let a duty's time run out
+
+	earliest float64 // no lease lapses before this time, so until then the leases need not be walked
 }
 
 // shunned is not chosen for a duty until a time.
@@ -84,9 +88,12 @@
 // up to this moment, and nothing tells which.
 func (g *Grantor) Lead(term uint64, now float64) {
 	if g.term == term && g.heard != nil {
+		// The same office, after an entry that was not confirmed: its orders were carried out by now, or never will be.
+		clear(g.asked)
+		g.earliest = now
 		return
 	}
-	g.term, g.since = term, now
+	g.term, g.since, g.earliest = term, now, now
 	g.heard, g.stands = map[string]heard{}, map[string]map[string]stand{}
 	g.free, g.asked = map[string]float64{}, map[string]bool{}
 	g.given, g.deaf, g.shun = map[string]heard{}, map[string]uint64{}, map[string]shunned{}
@@ -148,44 +155,57 @@
 
 // Turn finds whose time is up and whom to grant what nobody holds.
 func (g *Grantor) Turn(now float64, t *Table) []Order {
-	var out []Order
-	load := map[string]int{} // duties of each process
-	present := 0
-	for name, l := range t.Leases {
-		if l.Holder == "" {
-			continue
-		}
-		if PresentWho(name) != "" {
-			present++
-		} else {
-			load[l.Holder]++
-		}
+	return append(g.lapses(now, t), g.grants(now, t)...)
+}
+
+// lapses finds the leases whose time is up. To hear a holder only puts its end off, so all leases are walked no more often
+// than the earliest end that the last walk found.
+func (g *Grantor) lapses(now float64, t *Table) (out []Order) {
+	if now <= g.earliest {
+		return nil
 	}
-	for _, name := range slices.Sorted(maps.Keys(t.Leases)) {
-		l := t.Leases[name]
+	g.earliest = math.Inf(1)
+	for name, l := range t.Leases {
 		if l.Holder == "" || g.asked[name] {
 			continue
 		}
-		delete(g.free, name)
-		if now > g.lastHeard(name, l.Epoch)+g.GrantorSpan(l.TTL) {
-			out = append(out, Order{Kind: Lapse, Name: name, Holder: l.Holder, Epoch: l.Epoch, Term: g.term})
-			g.asked[name] = true
+		end := g.lastHeard(name, l.Epoch) + g.GrantorSpan(l.TTL)
+		if now <= end {
+			g.earliest = min(g.earliest, end)
+			continue
 		}
+		out = append(out, Order{Kind: Lapse, Name: name, Holder: l.Holder, Epoch: l.Epoch, Term: g.term})
+		g.asked[name] = true
 	}
+	slices.SortFunc(out, func(a, b Order) int { return strings.Compare(a.Name, b.Name) })
+	return out
+}
+
+// grants finds whom to grant what nobody holds.
+func (g *Grantor) grants(now float64, t *Table) (out []Order) {
+	load := map[string]int{}           // duties that are granted in this turn, by process
+	present, counted := -1, g.Most > 0 // the count matters only where it is bounded and somebody wants in
 	for _, name := range slices.Sorted(maps.Keys(g.stands)) {
 		g.fade(name, now)
 		l := t.Leases[name]
-		if g.asked[name] || t.Frozen[name] || l != nil && l.Holder != "" {
+		if l != nil && l.Holder != "" {
+			delete(g.free, name)
+			continue
+		}
+		if g.asked[name] || t.Frozen[name] {
 			continue
 		}
 		who, ttl := "", g.ttl(name)
 		if p := PresentWho(name); p != "" {
-			if _, stands := g.stands[name][p]; stands && (g.Most == 0 || present < g.Most) {
+			if counted && present < 0 {
+				present = t.Present()
+			}
+			if _, stands := g.stands[name][p]; stands && (!counted || present < g.Most) {
 				who, ttl = p, g.Presence
 				present++
 			}
 		} else {
-			who = g.choose(name, now, load)
+			who = g.choose(name, now, func(who string) int { return t.DutiesHeldBy(who) + load[who] })
 		}
 		if who == "" || ttl <= 0 {
 			continue
@@ -227,7 +247,7 @@
 // choose picks the one with the fewest duties, ties by a draw that differs from duty to duty but not from leader to
 // leader. A cold server is taken only where no other has stood for a while. Guards against all duties on one server,
 // and against the first whose message came after an outage.
-func (g *Grantor) choose(name string, now float64, load map[string]int) string {
+func (g *Grantor) choose(name string, now float64, load func(who string) int) string {
 	if _, seen := g.free[name]; !seen {
 		g.free[name] = now
 	}
@@ -250,8 +270,8 @@
 			if b.cold {
 				best = who
 			}
-		case load[who] != load[best]:
-			if load[who] < load[best] {
+		case load(who) != load(best):
+			if load(who) < load(best) {
 				best = who
 			}
 		case g.draw(name, who) < g.draw(name, best):
@@ -285,6 +305,10 @@
 	if l := t.Leases[o.Name]; o.Kind == Grant && l != nil && l.Holder == o.Holder {
 		g.hear(o.Name, l.Epoch, now)
 		g.given[o.Name] = heard{l.Epoch, now}
+		g.earliest = min(g.earliest, now+g.GrantorSpan(l.TTL))
+		delete(g.free, o.Name)
+	} else if l != nil && l.Holder != "" {
+		g.earliest = now // an order that was refused: the lease has to be looked at again
 	}
 }
 
--- a/internal/duty/table.go
+++ b/internal/duty/table.go
@@ -51,6 +51,8 @@
 	Last   uint64            `json:"last"` // the highest epoch ever granted, of any duty; it only grows
 	Leases map[string]*Lease `json:"leases"`
 	Frozen map[string]bool   `json:"frozen,omitempty"`
+
+	held map[string]map[string]bool // names of the leases in force, by holder; nil: not built yet
 }
 
 // NewTable is an empty table.
@@ -103,11 +105,15 @@
 		}
 		t.Last++
 		t.Leases[o.Name] = &Lease{Holder: o.Holder, Epoch: t.Last, TTL: o.TTL}
+		t.index(o.Holder, o.Name)
 		return nil
 	case Release, Lapse:
 		if l == nil || l.Holder == "" || l.Epoch != o.Epoch {
 			return ErrStale
 		}
+		if delete(t.held[l.Holder], o.Name); len(t.held[l.Holder]) == 0 {
+			delete(t.held, l.Holder)
+		}
 		l.Holder, l.Yield = "", false
 		if PresentWho(o.Name) != "" {
 			delete(t.Leases, o.Name) // epochs are of the whole table, so that one that comes back gets a higher one
@@ -154,8 +160,10 @@
 }
 
 // HeldBy lists a process's grants, by name.
-func (t *Table) HeldBy(who string) []string {
-	var names []string
+func (t *Table) HeldBy(who string) (names []string) {
+	if t.indexed() {
+		return slices.Sorted(maps.Keys(t.held[who]))
+	}
 	for name, l := range t.Leases {
 		if l.Holder == who {
 			names = append(names, name)
@@ -164,3 +172,52 @@
 	slices.Sort(names)
 	return names
 }
+
+// DutiesHeldBy counts a process's grants, its presence left out.
+func (t *Table) DutiesHeldBy(who string) (n int) {
+	for _, name := range t.HeldBy(who) {
+		if PresentWho(name) == "" {
+			n++
+		}
+	}
+	return n
+}
+
+// Present counts the processes whose presence is in force.
+func (t *Table) Present() (n int) {
+	for name, l := range t.Leases {
+		if l.Holder != "" && PresentWho(name) != "" {
+			n++
+		}
+	}
+	return n
+}
+
+// walkUpTo is the number of leases that are walked rather than found by an index.
+const walkUpTo = 32
+
+// indexed tells whether the index of leases by holder is there; it is built where a table has grown large, also after it was
+// read from a snapshot.
+func (t *Table) indexed() bool {
+	if t.held != nil || len(t.Leases) <= walkUpTo {
+		return t.held != nil
+	}
+	t.held = map[string]map[string]bool{}
+	for name, l := range t.Leases {
+		if l.Holder != "" {
+			t.index(l.Holder, name)
+		}
+	}
+	return true
+}
+
+// index adds a lease in force to the index, where there is one.
+func (t *Table) index(holder, name string) {
+	if t.held == nil {
+		return
+	}
+	if t.held[holder] == nil {
+		t.held[holder] = map[string]bool{}
+	}
+	t.held[holder][name] = true
+}
--- a/internal/net/session/session_test.go
+++ b/internal/net/session/session_test.go
@@ -299,7 +299,7 @@
 // BenchmarkFleet measures on a set clock what servers and duties cost a copy and an order server, by the messages that
 // they exchange; the log's disk and the sockets are not in it.
 func BenchmarkFleet(b *testing.B) {
-	for _, size := range []struct{ servers, duties int }{{12, 5}, {100, 20}, {300, 20}} {
+	for _, size := range []struct{ servers, duties int }{{12, 5}, {100, 20}, {300, 20}, {1000, 20}, {2000, 20}, {4300, 20}} {
 		b.Run(fmt.Sprintf("servers=%d/duties=%d", size.servers, size.duties), func(b *testing.B) {
 			r := rules
 			r.Duties = nil
@@ -310,8 +310,11 @@
 			g := &duty.Grantor{Rules: r, Seed: 1}
 			g.Lead(1, now)
 			var fleet []*duty.Machine
+			byName := map[string]*duty.Machine{}
 			for i := range size.servers {
-				fleet = append(fleet, duty.NewMachine(r, fmt.Sprintf("os-%d#%016x", i, i), uint64(i)))
+				m := duty.NewMachine(r, fmt.Sprintf("os-%d#%016x", i, i), uint64(i))
+				fleet = append(fleet, m)
+				byName[m.Me] = m
 			}
 			var entries, in, out, beats int
 			var ours, theirs time.Duration
@@ -361,11 +364,7 @@
 						if err := json.Unmarshal(f[4:], &m); err != nil {
 							b.Fatal(err)
 						}
-						for _, s := range fleet {
-							if s.Me == from[i].From {
-								s.Told(now, *m.Told)
-							}
-						}
+						byName[from[i].From].Told(now, *m.Told)
 					}
 					theirs += time.Since(begun)
 					beats += len(came)
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"maps"
+	"slices"
 	"strings"
 
 	"puffinsaddle/internal/allot"
@@ -183,9 +184,12 @@
 		}
 		return Result{Stale: true, Error: err.Error()}
 	}
-	// Shares are the one thing that can be refused after a part was done.
+	// Shares are the one thing that can be refused after a part was done. To copy them costs as much as the fleet is large,
+	// so it is done only where an act touches them.
 	shares := s.Shares
-	s.Shares = shares.Clone()
+	if slices.ContainsFunc(c.Do, func(d Command) bool { return d.Op == Share || d.Op == Pool }) {
+		s.Shares = shares.Clone()
+	}
 	var r Result
 	for _, d := range c.Do {
 		n, err := s.do(d, *c.Fence)
