Hold configuration as keyed records that watchers follow from a revision

Nothing uses them yet.

Measured: their tests, with random changes against a plain map, random watchers against a feed's window, malformed and endless messages on real sockets.

--- /dev/null
+++ b/internal/distribution/distribution_test.go
@@ -0,0 +1,239 @@
+package distribution
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"puffinsaddle/internal/records"
+)
+
+// commits makes a chain of so many commits.
+func commits(t *testing.T, n int) []records.Commit {
+	t.Helper()
+	s := records.NewSet(records.DefaultLimits)
+	var all []records.Commit
+	for i := range n {
+		c, err := s.Apply(records.Change{Puts: []records.Put{{Key: records.Key{Kind: records.Tenant, Name: fmt.Sprint(i % 7)}, Value: []byte(fmt.Sprint(i))}}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		all = append(all, c)
+	}
+	return all
+}
+
+func after(c records.Commit) Position { return Position{c.Revision, c.After} }
+
+// Watchers that come, go and read at their own pace see each commit once and in order, or are told to begin again; what the
+// feed holds stays within its limits.
+func TestWatchersSeeEachCommitOnce(t *testing.T) {
+	all := commits(t, 600)
+	for seed := range uint64(20) {
+		rng := rand.New(rand.NewPCG(seed, 1))
+		limits := Limits{Commits: 40, Bytes: 1200, Watchers: 8, Snapshots: 2}
+		f := NewFeed(limits, seed)
+		at := map[int]uint64{} // of the watchers that are served
+		next := 0
+		for range 5000 {
+			switch who := rng.IntN(10); rng.IntN(4) {
+			case 0:
+				if next < len(all) {
+					if err := f.Advance(all[next], make([]byte, 10+rng.IntN(60))); err != nil {
+						t.Fatal(err)
+					}
+					next++
+				}
+			case 1:
+				if _, here := at[who]; !here && next > 0 {
+					from := Position{}
+					if i := rng.IntN(next + 1); i > 0 {
+						from = after(all[i-1])
+					}
+					at, verdict := serve(f, at, who, from)
+					if verdict == Refuse && len(at) < limits.Watchers && f.Snapshots() < limits.Snapshots {
+						t.Fatalf("seed %d: refused with room", seed)
+					}
+				}
+			case 2:
+				if _, here := at[who]; here {
+					f.Leave()
+					delete(at, who)
+				}
+			case 3:
+				revision, here := at[who]
+				if !here {
+					continue
+				}
+				frames, through, err := f.Next(revision, 200)
+				if errors.Is(err, ErrFellBehind) != (revision < f.Floor()) {
+					t.Fatalf("seed %d: at %d with the floor at %d: %v", seed, revision, f.Floor(), err)
+				}
+				if err != nil {
+					f.Leave()
+					delete(at, who)
+					continue
+				}
+				if through-revision != uint64(len(frames)) {
+					t.Fatalf("seed %d: %d frames from %d to %d", seed, len(frames), revision, through)
+				}
+				at[who] = through
+			}
+			if f.Held() > limits.Bytes || f.At().Revision-f.Floor() > uint64(limits.Commits) || f.Watchers() != len(at) || f.Watchers() > limits.Watchers {
+				t.Fatalf("seed %d: over a limit", seed)
+			}
+		}
+	}
+}
+
+// serve admits a watcher; a snapshot is over at once.
+func serve(f *Feed, at map[int]uint64, who int, from Position) (map[int]uint64, Verdict) {
+	a := f.Admit(from)
+	switch a.Verdict {
+	case Stream:
+		at[who] = from.Revision
+	case Snapshot:
+		f.SnapshotDone()
+		at[who] = f.At().Revision
+	}
+	return at, a.Verdict
+}
+
+// Who holds what was never agreed on gets a snapshot, who is ahead is sent away, and so is one too many.
+func TestAdmission(t *testing.T) {
+	all := commits(t, 10)
+	f := NewFeed(Limits{Commits: 5, Bytes: 1 << 20, Watchers: 4, Snapshots: 1}, 1)
+	for _, c := range all[:9] {
+		if err := f.Advance(c, []byte("frame")); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if a := f.Admit(after(all[9])); a.Verdict != Refuse || a.RetryMs < behindRetryMs/2 {
+		t.Errorf("a watcher that is ahead: %+v", a)
+	}
+	if a := f.Admit(after(all[3])); a.Verdict != Stream {
+		t.Errorf("at the floor: %+v", a)
+	}
+	if a := f.Admit(Position{all[6].Revision, all[5].After}); a.Verdict != Snapshot {
+		t.Errorf("with other records: %+v", a)
+	}
+	if a := f.Admit(after(all[1])); a.Verdict != Refuse || a.RetryMs < snapshotRetryMs/2 || a.RetryMs > snapshotRetryMs*1.5 {
+		t.Errorf("one snapshot too many: %+v", a)
+	}
+	f.SnapshotDone()
+	if a := f.Admit(after(all[1])); a.Verdict != Snapshot {
+		t.Errorf("behind the floor: %+v", a)
+	}
+	if a := f.Admit(after(all[8])); a.Verdict != Stream {
+		t.Errorf("the last that has room: %+v", a)
+	}
+	if a := f.Admit(after(all[8])); a.Verdict != Refuse || a.Reason != "full" {
+		t.Errorf("one too many: %+v", a)
+	}
+	if err := f.Advance(all[8], nil); !errors.Is(err, ErrOrder) {
+		t.Errorf("a commit twice: %v", err)
+	}
+}
+
+// Watchers of a relay that fails spread over the others of their region, at different times, and come back to their zone.
+func TestSelectorsSpreadAndComeBack(t *testing.T) {
+	var relays []Relay
+	for i := range 12 {
+		relays = append(relays, Relay{Name: fmt.Sprintf("n%d", i), Address: fmt.Sprintf("127.0.0.1:%d", 7000+i), Zone: fmt.Sprintf("z%d", i), Region: fmt.Sprintf("r%d", i%3)})
+	}
+	second, waits, away := map[string]int{}, 0.0, 0
+	const watchers = 300
+	for seed := range uint64(watchers) {
+		s := NewSelector(relays, Place{"z0", "r0"}, seed)
+		r, _, ok := s.Next(0)
+		if !ok || r.Zone != "z0" {
+			t.Fatalf("the first choice is %+v", r)
+		}
+		s.Served()
+		waits += s.Failed()
+		s.Next(1)
+		s.Failed() // the own zone's does not come back
+		r, _, _ = s.Next(2)
+		if r.Region != "r0" {
+			t.Fatalf("the second choice is %+v", r)
+		}
+		second[r.Name]++
+		if keep := s.Served(); keep >= awayFor && keep <= 2*awayFor {
+			away++
+		}
+	}
+	if away != watchers {
+		t.Errorf("%d of %d look for a nearer relay later", away, watchers)
+	}
+	if mean := waits / watchers; mean < firstBackoff/3 || mean > firstBackoff {
+		t.Errorf("they wait %.0f ms in the mean", mean)
+	}
+	for name, n := range second {
+		if n > watchers/2 {
+			t.Errorf("%d of %d turn to %s", n, watchers, name)
+		}
+	}
+	s := NewSelector(relays, Place{"z0", "r0"}, 1)
+	last, longest := 0.0, 0.0
+	for range 40 {
+		last = s.Failed()
+		longest = max(longest, last)
+	}
+	if longest > maxBackoff || longest < maxBackoff/2 {
+		t.Errorf("the longest wait is %.0f ms", longest)
+	}
+}
+
+// A relay that refuses is not asked again before its time, and the one that it named is tried next.
+func TestSelectorFollowsARefusal(t *testing.T) {
+	relays := []Relay{{Name: "a", Address: "127.0.0.1:1", Zone: "z"}, {Name: "b", Address: "127.0.0.1:2", Zone: "y"}, {Name: "c", Address: "127.0.0.1:3", Zone: "x"}}
+	s := NewSelector(relays, Place{Zone: "z"}, 1)
+	if r, _, _ := s.Next(0); r.Name != "a" {
+		t.Fatalf("%+v", r)
+	}
+	s.Refused(0, 5000, []string{"nobody", "c"})
+	if r, _, _ := s.Next(10); r.Name != "c" {
+		t.Errorf("tried %s", r.Name)
+	}
+	s.Refused(10, 5000, nil)
+	if r, _, _ := s.Next(20); r.Name != "b" {
+		t.Errorf("tried %s", r.Name)
+	}
+	s.Refused(20, 9000, nil)
+	if _, wait, ok := s.Next(30); ok || wait != 4970 {
+		t.Errorf("all refused: %v, %v", wait, ok)
+	}
+	if r, _, ok := s.Next(5001); !ok || r.Name != "a" {
+		t.Errorf("after its time: %+v, %v", r, ok)
+	}
+}
+
+// Reports of many come to one of the same size.
+func TestReportsAreSummed(t *testing.T) {
+	p := NewProgress()
+	for i := range 500 {
+		r := Report{Servers: 1, Lowest: 20, LowestName: fmt.Sprintf("s%03d", i)}
+		if i == 77 {
+			r.Lowest = 18
+		}
+		if i%10 == 0 {
+			r.Rejecting, r.Rejections = 1, []Rejection{{Server: r.LowestName, Key: "setting/x", Revision: uint64(i), Reason: "no"}}
+		}
+		p.Put(r.LowestName, r)
+	}
+	sum := p.Sum(20)
+	if sum.Servers != 500 || sum.Lowest != 18 || sum.LowestName != "s077" || sum.Behind != 1 || sum.Rejecting != 50 || len(sum.Rejections) != MaxRejections {
+		t.Errorf("%+v", sum)
+	}
+	p.Drop("s077")
+	if sum = p.Sum(21); sum.Lowest != 20 || sum.Behind != 499 {
+		t.Errorf("%+v", sum)
+	}
+	up := NewProgress()
+	up.Put("relay", p.Sum(20))
+	up.Put("another", Report{})
+	if sum = up.Sum(20); sum.Servers != 499 || sum.Behind != 0 || sum.Rejecting != 50 {
+		t.Errorf("%+v", sum)
+	}
+}
--- /dev/null
+++ b/internal/net/configwatch/configwatch_test.go
@@ -0,0 +1,479 @@
+package configwatch_test
+
+import (
+	"context"
+	"encoding/binary"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"puffinsaddle/internal/clock"
+	"puffinsaddle/internal/distribution"
+	"puffinsaddle/internal/net/configwatch"
+	"puffinsaddle/internal/records"
+	"puffinsaddle/internal/replica"
+)
+
+const patience = 30 * time.Second // a test that hangs fails by then; none is timed
+
+// feed is a server with the records that it serves.
+type feed struct {
+	t      testing.TB
+	mu     sync.Mutex
+	set    *records.Set
+	server *configwatch.Server
+	ln     net.Listener
+}
+
+func (f *feed) Table() (*records.Table, uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.set.Table().Clone(), f.set.Revision()
+}
+
+func openFeed(t *testing.T, limits distribution.Limits, change ...func(*configwatch.ServerOptions)) *feed {
+	t.Helper()
+	f := &feed{t: t, set: records.NewSet(records.DefaultLimits)}
+	o := configwatch.ServerOptions{Limits: limits, Source: f, Steady: clock.Steady(), Log: zerolog.Nop()}
+	for _, c := range change {
+		c(&o)
+	}
+	f.server = configwatch.NewServer(o)
+	var err error
+	if f.ln, err = net.Listen("tcp", "127.0.0.1:0"); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		f.ln.Close()
+		f.server.DropAll()
+	})
+	go func() {
+		for {
+			conn, err := f.ln.Accept()
+			if err != nil {
+				return
+			}
+			go f.server.Serve(conn)
+		}
+	}()
+	return f
+}
+
+func (f *feed) at() string { return f.ln.Addr().String() }
+
+// commit has some records changed.
+func (f *feed) commit(names ...string) records.Commit {
+	f.t.Helper()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var c records.Change
+	for _, name := range names {
+		c.Puts = append(c.Puts, records.Put{Key: records.Key{Kind: records.Setting, Name: name}, Value: []byte(fmt.Sprint(f.set.Revision(), strings.Repeat("x", len(name)*40)))})
+	}
+	commit, err := f.set.Apply(c)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	if err := f.server.Publish(commit); err != nil {
+		f.t.Fatal(err)
+	}
+	return commit
+}
+
+func (f *feed) digest() records.Digest {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.set.Digest()
+}
+
+// watching is a replica with its client.
+type watching struct {
+	*replica.Replica
+	client  *configwatch.Client
+	commits chan uint64
+	stop    context.CancelFunc
+	done    chan struct{}
+}
+
+func watch(t *testing.T, path string, relays []distribution.Relay, change ...func(*configwatch.ClientOptions)) *watching {
+	t.Helper()
+	w := &watching{commits: make(chan uint64, 100000), done: make(chan struct{})}
+	w.Replica = replica.Open(replica.Options{Name: "server", Path: path, Log: zerolog.Nop(), Committed: func(c records.Commit) { w.commits <- c.Revision }})
+	o := configwatch.ClientOptions{Name: "server", Follower: w.Replica, Steady: clock.Steady(), Log: zerolog.Nop(),
+		Selector: distribution.NewSelector(relays, distribution.Place{Zone: "z"}, 1)}
+	for _, c := range change {
+		c(&o)
+	}
+	w.client = configwatch.NewClient(o)
+	ctx, stop := context.WithCancel(t.Context())
+	w.stop = func() {
+		stop()
+		<-w.done
+		w.Close()
+	}
+	go func() {
+		defer close(w.done)
+		w.client.Run(ctx)
+	}()
+	t.Cleanup(w.stop)
+	return w
+}
+
+func to(feeds ...*feed) (relays []distribution.Relay) {
+	for _, f := range feeds {
+		relays = append(relays, distribution.Relay{Name: f.at(), Address: f.at(), Zone: "z"})
+	}
+	return relays
+}
+
+func until(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	for late := time.Now().Add(patience); !holds(); time.Sleep(2 * time.Millisecond) {
+		if time.Now().After(late) {
+			t.Fatalf("not within %s: %s", patience, what)
+		}
+	}
+}
+
+func (w *watching) level(t *testing.T, f *feed) {
+	t.Helper()
+	until(t, "the watcher has what the feed has", func() bool {
+		p := w.Position()
+		return p.Revision == f.server.At().Revision && p.Digest == f.digest()
+	})
+}
+
+// tookSnapshot waits until it is counted: that is later than the records are there.
+func (w *watching) tookSnapshot(t *testing.T) {
+	t.Helper()
+	until(t, "one snapshot is counted", func() bool { return w.client.Figures().Snapshots == 1 })
+}
+
+// A watcher sees each commit once and in order, also over a feed that ends: it goes on with another from its own revision.
+func TestWatchGoesOnAtAnotherFeed(t *testing.T) {
+	a, b := openFeed(t, distribution.DefaultLimits), openFeed(t, distribution.DefaultLimits)
+	both := func(names ...string) {
+		a.commit(names...)
+		b.commit(names...)
+	}
+	both("one", "two")
+	w := watch(t, "", to(a, b))
+	for i := range 50 {
+		both(fmt.Sprint("n", i%5))
+	}
+	w.level(t, b)
+	first, second := a, b
+	if w.client.Figures().Watching == b.at() {
+		first, second = b, a
+	}
+	first.ln.Close()
+	first.server.DropAll()
+	for i := range 50 {
+		both(fmt.Sprint("n", i%5))
+	}
+	w.level(t, second)
+	for want := uint64(1); want <= 101; want++ {
+		if got := <-w.commits; got != want {
+			t.Fatalf("commit %d came where %d was due", got, want)
+		}
+	}
+	if n := w.client.Figures().Snapshots; n != 0 {
+		t.Errorf("%d snapshots were sent", n)
+	}
+}
+
+// A restarted server asks for what it missed alone; a spoilt copy is thrown away and fetched anew.
+func TestRestartAsksForWhatItMissed(t *testing.T) {
+	f := openFeed(t, distribution.Limits{Commits: 30, Bytes: 1 << 20, Watchers: 10, Snapshots: 2})
+	for i := range 100 {
+		f.commit(fmt.Sprint("n", i))
+	}
+	path := filepath.Join(t.TempDir(), "records")
+	w := watch(t, path, to(f))
+	w.level(t, f)
+	w.tookSnapshot(t)
+	f.commit("behind-the-snapshot")
+	w.level(t, f)
+	w.stop()
+	for i := range 20 {
+		f.commit(fmt.Sprint("missed", i))
+	}
+	w = watch(t, path, to(f))
+	w.level(t, f)
+	if n := w.client.Figures(); n.Snapshots != 0 || len(w.commits) != 20 {
+		t.Errorf("%d snapshots and %d commits for a server that missed 20", n.Snapshots, len(w.commits))
+	}
+	w.stop()
+	b, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	b[len(b)/2] ^= 4
+	if err := os.WriteFile(path, b, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	w = watch(t, path, to(f))
+	w.level(t, f)
+	w.tookSnapshot(t)
+	w.stop()
+	if b, err = os.ReadFile(path); err != nil {
+		t.Fatal(err)
+	}
+	if err := os.WriteFile(path, b[:len(b)-3], 0o600); err != nil { // what a crash leaves
+		t.Fatal(err)
+	}
+	f.commit("later")
+	w = watch(t, path, to(f))
+	w.level(t, f)
+}
+
+// A watcher that holds what was never agreed on throws it away.
+func TestOtherRecordsAreThrownAway(t *testing.T) {
+	a, b := openFeed(t, distribution.DefaultLimits), openFeed(t, distribution.DefaultLimits)
+	for range 5 {
+		a.commit("of-a")
+		b.commit("of-b")
+	}
+	path := filepath.Join(t.TempDir(), "records")
+	w := watch(t, path, to(a))
+	w.level(t, a)
+	w.stop()
+	w = watch(t, path, to(b))
+	w.level(t, b)
+	w.tookSnapshot(t)
+}
+
+// One that is full names another and a time; the watcher goes there.
+func TestRefusedWatchersGoElsewhere(t *testing.T) {
+	other := openFeed(t, distribution.DefaultLimits)
+	full := openFeed(t, distribution.Limits{Commits: 10, Bytes: 1 << 20, Watchers: 0, Snapshots: 1}, func(o *configwatch.ServerOptions) { o.Elsewhere = []string{other.at()} })
+	other.commit("x")
+	relays := []distribution.Relay{{Name: "full", Address: full.at(), Zone: "z"}, {Name: "other", Address: other.at(), Zone: "y"}}
+	w := watch(t, "", relays)
+	w.level(t, other)
+	if full.server.Figures().Refused == 0 {
+		t.Error("the full one was not asked")
+	}
+}
+
+// A watcher that reads nothing is cut off, and what the feed holds for it stays within its limits.
+func TestSlowWatcherIsCutOff(t *testing.T) {
+	limits := distribution.Limits{Commits: 50, Bytes: 1 << 20, Watchers: 10, Snapshots: 2}
+	f := openFeed(t, limits)
+	conn, err := net.Dial("tcp", f.at())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	conn.(*net.TCPConn).SetReadBuffer(4 << 10)
+	conn.Write(message(t, `{"watch":{"name":"slow","at":{"revision":0,"digest":"00000000000000000000000000000000"}}}`))
+	until(t, "it is served", func() bool { return f.server.Figures().Watchers == 1 })
+	w := watch(t, "", to(f))
+	large := strings.Repeat("n", 128)
+	until(t, "it is cut off", func() bool {
+		f.commit(large, large[:100], large[:99], large[:98])
+		if held := f.server.Figures().Held; held > limits.Bytes {
+			t.Fatalf("%d bytes are held, %d at most", held, limits.Bytes)
+		}
+		w.level(t, f) // the others are served all the while
+		return f.server.Figures().Watchers == 1
+	})
+	if f.server.Figures().Cut == 0 {
+		t.Error("it is not counted")
+	}
+}
+
+func message(t *testing.T, text string) []byte {
+	t.Helper()
+	return append(binary.BigEndian.AppendUint32(nil, uint32(len(text))), text...)
+}
+
+// What no watcher of ours would send ends its own connection and touches nothing.
+func TestMalformedWatchesEndTheirConnection(t *testing.T) {
+	f := openFeed(t, distribution.DefaultLimits)
+	f.commit("x")
+	w := watch(t, "", to(f))
+	w.level(t, f)
+	const good = `{"watch":{"name":"x","at":{"revision":1,"digest":"%s"}}}`
+	hello := string(message(t, fmt.Sprintf(good, f.digest())))
+	for name, text := range map[string]string{
+		"no JSON":            string(message(t, "{")),
+		"no part":            string(message(t, "{}")),
+		"a report first":     string(message(t, `{"report":{"servers":1}}`)),
+		"no name":            string(message(t, `{"watch":{"at":{}}}`)),
+		"a bad digest":       string(message(t, `{"watch":{"name":"x","at":{"revision":1,"digest":"zz"}}}`)),
+		"a length of zero":   "\x00\x00\x00\x00",
+		"a huge length":      "\xff\xff\xff\xff",
+		"two watches":        hello + hello,
+		"a huge report":      hello + "\x00\x10\x00\x00",
+		"noise":              hello + strings.Repeat("\xfe", 4000),
+		"half a message":     hello[:9],
+		"a negative revison": string(message(t, `{"watch":{"name":"x","at":{"revision":-1}}}`)),
+	} {
+		conn, err := net.Dial("tcp", f.at())
+		if err != nil {
+			t.Fatal(err)
+		}
+		conn.SetDeadline(time.Now().Add(patience))
+		conn.Write([]byte(text))
+		if name == "half a message" {
+			conn.(*net.TCPConn).CloseWrite()
+		}
+		if _, err := io.ReadAll(conn); errors.Is(err, os.ErrDeadlineExceeded) {
+			t.Errorf("%s: the connection stands", name)
+		}
+		conn.Close()
+	}
+	until(t, "one watcher is left", func() bool { return f.server.Figures().Watchers == 1 })
+	f.commit("y")
+	w.level(t, f)
+}
+
+// scripted answers each connection with bytes of the test's own.
+func scripted(t *testing.T, bytes func(n int) []byte) (address string, ended *atomic.Int64) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	ended = &atomic.Int64{}
+	go func() {
+		for n := 0; ; n++ {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				conn.Write(bytes(n))
+				io.Copy(io.Discard, conn) // until the client has closed it
+				ended.Add(1)
+			}()
+		}
+	}()
+	return ln.Addr().String(), ended
+}
+
+// A feed that sends what none of ours would is left, and what the watcher has stays as it is.
+func TestMalformedFeedsAreLeft(t *testing.T) {
+	set := records.NewSet(records.DefaultLimits)
+	var commits []string
+	for i := range 3 {
+		c, err := set.Apply(records.Change{Puts: []records.Put{{Key: records.Key{Kind: records.Tenant, Name: fmt.Sprint(i)}}}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		b, err := json.Marshal(map[string]any{"commit": c})
+		if err != nil {
+			t.Fatal(err)
+		}
+		commits = append(commits, string(message(t, string(b))))
+	}
+	header := string(message(t, `{"header":{"revision":9,"digest":"00000000000000000000000000000000","records":5,"pieces":1}}`))
+	for name, text := range map[string]string{
+		"no JSON":           string(message(t, "[1")),
+		"no part":           string(message(t, "{}")),
+		"a huge length":     "\x7f\xff\xff\xff",
+		"a gap":             commits[0] + commits[2],
+		"a commit twice":    commits[0] + commits[0],
+		"a piece alone":     string(message(t, `{"piece":{"number":0,"data":"AA=="}}`)),
+		"a spoilt piece":    header + string(message(t, `{"piece":{"number":0,"data":"AAAA"}}`)),
+		"two headers":       header + header,
+		"a commit inside":   header + commits[0],
+		"no end of records": string(message(t, `{"header":{"revision":9,"records":999999999999,"pieces":1}}`)),
+		"nothing promised":  string(message(t, `{"header":{"revision":9,"records":0,"pieces":1}}`)),
+	} {
+		t.Run(name, func(t *testing.T) {
+			at, ended := scripted(t, func(int) []byte { return []byte(text) })
+			w := watch(t, "", []distribution.Relay{{Name: "bad", Address: at, Zone: "z"}})
+			until(t, "it is left", func() bool { return ended.Load() > 0 })
+			if p := w.Position(); p.Revision > 1 || w.Records() > 1 {
+				t.Errorf("it took %+v", p)
+			}
+		})
+	}
+}
+
+// What the watchers report comes to one report, with the reasons by name.
+func TestReportsTellWhatWasTurnedDown(t *testing.T) {
+	f := openFeed(t, distribution.DefaultLimits)
+	w := &watching{}
+	w.Replica = replica.Open(replica.Options{Name: "picky", Log: zerolog.Nop(), Check: func(p records.Put) error {
+		if p.Name == "bad" {
+			return errors.New("not to my liking")
+		}
+		return nil
+	}})
+	w.client = configwatch.NewClient(configwatch.ClientOptions{Name: "picky", Follower: w.Replica, Steady: clock.Steady(), Log: zerolog.Nop(),
+		Selector: distribution.NewSelector(to(f), distribution.Place{}, 1)})
+	go w.client.Run(t.Context())
+	f.commit("good")
+	f.commit("bad")
+	until(t, "the reason is heard", func() bool {
+		r := f.server.Report()
+		return r.Servers == 1 && r.Lowest == 2 && r.Rejecting == 1 && len(r.Rejections) == 1 && r.Rejections[0].Key == "setting/bad" &&
+			r.Rejections[0].Reason == "not to my liking" && r.Rejections[0].Revision == 2
+	})
+	f.mu.Lock()
+	commit, err := f.set.Apply(records.Change{Deletes: []records.Key{{Kind: records.Setting, Name: "bad"}}})
+	f.mu.Unlock()
+	if err = errors.Join(err, f.server.Publish(commit)); err != nil {
+		t.Fatal(err)
+	}
+	until(t, "it is heard that nothing is turned down", func() bool { r := f.server.Report(); return r.Lowest == 3 && r.Rejecting == 0 })
+}
+
+// BenchmarkFanOut measures what a commit costs a feed, by the number of its watchers.
+func BenchmarkFanOut(b *testing.B) {
+	for _, n := range []int{25, 50, 100, 200} {
+		b.Run(fmt.Sprintf("watchers=%d", n), func(b *testing.B) {
+			f := &feed{t: b, set: records.NewSet(records.DefaultLimits)}
+			limits := distribution.DefaultLimits
+			f.server = configwatch.NewServer(configwatch.ServerOptions{Limits: limits, Source: f, Steady: clock.Steady(), Log: zerolog.Nop()})
+			var got sync.WaitGroup
+			for i := range n {
+				here, there := net.Pipe()
+				b.Cleanup(func() { here.Close() })
+				go f.server.Serve(there)
+				go func() {
+					text := fmt.Sprintf(`{"watch":{"name":"w%d","at":{"revision":0,"digest":"00000000000000000000000000000000"}}}`, i)
+					here.Write(append(binary.BigEndian.AppendUint32(nil, uint32(len(text))), text...))
+					buf := make([]byte, 4)
+					for {
+						if _, err := io.ReadFull(here, buf); err != nil {
+							return
+						}
+						body := make([]byte, binary.BigEndian.Uint32(buf))
+						if _, err := io.ReadFull(here, body); err != nil {
+							return
+						}
+						if strings.HasPrefix(string(body), `{"commit"`) {
+							got.Done()
+						}
+					}
+				}()
+			}
+			for f.server.Figures().Watchers < n {
+				time.Sleep(time.Millisecond)
+			}
+			i := 0
+			for b.Loop() {
+				got.Add(n)
+				i++
+				f.commit(fmt.Sprint("n", i%100))
+				got.Wait()
+			}
+		})
+	}
+}
