--- /dev/null
+++ b/cmd/puffinsaddle/added_test.go
@@ -0,0 +1,112 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// loader sends requests at times drawn ahead over one connection, and counts each answer's time from then.
+type loader struct {
+	conn   net.Conn
+	first  time.Time // intended time of the first request
+	every  time.Duration
+	hist   *hdrhistogram.Histogram
+	mu     *sync.Mutex
+	failed *atomic.Int64
+}
+
+func (l *loader) send(n, connection int) {
+	for i := range n {
+		time.Sleep(time.Until(l.first.Add(time.Duration(i) * l.every)))
+		tag := fmt.Sprint(i + 1)
+		fields := fmt.Sprintf("id=%016x,at=%d,from=%d,kb=10,rank=0.5", l.first.UnixNano()+int64(connection)<<20+int64(i), time.Now().UnixMilli(), connection)
+		fmt.Fprintf(l.conn, "*5\r\n$3\r\nREQ\r\n$%d\r\n%s\r\n$4\r\nbook\r\n$%d\r\n%s\r\n$1\r\nx\r\n", len(tag), tag, len(fields), fields)
+	}
+}
+
+// read takes n answers: arrays of words, each behind its length.
+func (l *loader) read(n int) {
+	r := bufio.NewReader(l.conn)
+	for range n {
+		var words, size int
+		if _, err := fmt.Fscanf(r, "*%d\r\n", &words); err != nil {
+			l.failed.Add(1)
+			return
+		}
+		var all []string
+		for range words {
+			if _, err := fmt.Fscanf(r, "$%d\r\n", &size); err != nil {
+				l.failed.Add(1)
+				return
+			}
+			b := make([]byte, size+2)
+			if _, err := io.ReadFull(r, b); err != nil {
+				l.failed.Add(1)
+				return
+			}
+			all = append(all, string(b[:size]))
+		}
+		var tag int
+		fmt.Sscan(all[0], &tag)
+		if len(all) < 2 || all[1] != "done" {
+			l.failed.Add(1)
+			continue
+		}
+		took := time.Since(l.first.Add(time.Duration(tag-1) * l.every))
+		l.mu.Lock()
+		l.hist.RecordValue(took.Microseconds())
+		l.mu.Unlock()
+	}
+}
+
+// BenchmarkAdded measures what the program adds to a request whose work takes no time: from the time at which it was to be
+// sent to its answer, with the executor's stand-in on the same machine. The load is open.
+func BenchmarkAdded(b *testing.B) {
+	const connections, span = 8, 3 * time.Second
+	for _, rate := range []int{250, 500, 1000, 2000, 4000} {
+		b.Run(fmt.Sprintf("load=%d", rate), func(b *testing.B) {
+			members, err := net.ListenPacket("udp", "127.0.0.1:0")
+			if err != nil {
+				b.Fatal(err)
+			}
+			b.Cleanup(func() { members.Close() })
+			c := newChild(b)
+			c.write(running(b, 0), members.LocalAddr().String(), 1024)
+			c.start(1024)
+			c.until("it is ready", c.ready)
+			hist := hdrhistogram.New(1, 60e6, 3)
+			var mu sync.Mutex
+			var failed atomic.Int64
+			for b.Loop() {
+				var wait sync.WaitGroup
+				begin := time.Now().Add(50 * time.Millisecond)
+				for i := range connections {
+					conn, err := net.Dial("tcp", c.listen)
+					if err != nil {
+						b.Fatal(err)
+					}
+					every := time.Second * connections / time.Duration(rate)
+					l := &loader{conn: conn, first: begin.Add(every * time.Duration(i) / connections), every: every, hist: hist, mu: &mu, failed: &failed}
+					n := int(span / every)
+					wait.Go(func() { l.send(n, i) })
+					wait.Go(func() {
+						l.read(n)
+						conn.Close()
+					})
+				}
+				wait.Wait()
+			}
+			b.ReportMetric(float64(hist.ValueAtQuantile(50)), "p50-µs")
+			b.ReportMetric(float64(hist.ValueAtQuantile(99)), "p99-µs")
+			b.ReportMetric(float64(failed.Load()), "not-served")
+		})
+	}
+}
--- a/cmd/puffinsaddle/command.go
+++ b/cmd/puffinsaddle/command.go
@@ -19,6 +19,8 @@
 	"puffinsaddle/internal/clock"
 	"puffinsaddle/internal/config"
 	"puffinsaddle/internal/lab"
+	"puffinsaddle/internal/lab/fit"
+	"puffinsaddle/internal/lab/scale"
 	"puffinsaddle/internal/net/session"
 	"puffinsaddle/internal/state"
 )
@@ -36,8 +38,16 @@
 	Serve  struct{}  `cmd:"" help:"Serve as one order server, set up by RELAY_CONFIG; what the bare program does."`
 	Duty   dutyCmd   `cmd:"" help:"See and steer duties that one order server holds at a time."`
 	Store  storeCmd  `cmd:"" help:"See the copies of the replicated store, and look into a copy's folder."`
-	Config configCmd `cmd:"" help:"Check configuration."`
-	Lab    lab.Cmd   `cmd:"" help:"Start many processes of the program with faults between them, and check what they did."`
+	Config configCmd `cmd:"" help:"Check configuration, and change the records that all order servers follow."`
+	Relay  relayCmd  `cmd:"" help:"Pass configuration on from the copies of the store to the order servers of a zone."`
+	Lab    labCmd    `cmd:"" help:"Start many processes of the program with faults between them, and check what they did."`
+}
+
+type labCmd struct {
+	lab.Cmd `embed:""`
+	Scale   scale.Cmd       `cmd:"" help:"Configuration at the size of a large fleet, under faults."`
+	Fit     fit.Cmd         `cmd:"" help:"Turn the output of benchmarks over several sizes into slopes."`
+	Hollow  scale.HollowCmd `cmd:"" hidden:"" help:"Servers without requests; started by the scale run."`
 }
 
 type dutyCmd struct {
@@ -69,7 +79,8 @@
 		Off  bool   `help:"Let it be held again."`
 	}
 	configCmd struct {
-		Check checkCmd `cmd:"" help:"Read and check files as a start would; nothing is started."`
+		Check  checkCmd  `cmd:"" help:"Read and check files as a start would; nothing is started."`
+		Change changeCmd `cmd:"" help:"Change records, whole or not at all."`
 	}
 	checkCmd struct {
 		Config   string `env:"RELAY_CONFIG" help:"The platform's file."`
--- /dev/null
+++ b/cmd/puffinsaddle/crowd_test.go
@@ -0,0 +1,276 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+)
+
+const (
+	asProcess = "PUFFINSADDLE_TEST_SERVE" // set: the test binary is an order server
+	enough    = 60 * time.Second          // a test that hangs fails by then
+)
+
+func TestMain(m *testing.M) {
+	if os.Getenv(asProcess) != "" {
+		os.Exit(serve())
+	}
+	os.Exit(m.Run())
+}
+
+// child is an order server in a process of its own.
+type child struct {
+	t        testing.TB
+	path     string
+	listen   string
+	operator string
+	cmd      *exec.Cmd
+	log      *lockedBuffer
+}
+
+type lockedBuffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (l *lockedBuffer) Write(b []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.Write(b)
+}
+
+func (l *lockedBuffer) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.String()
+}
+
+func freePort(t testing.TB) string {
+	t.Helper()
+	// Connections are made from 127.0.0.1, and so take no port of another address meanwhile.
+	ln, err := net.Listen("tcp", fmt.Sprintf("127.77.%d.1:0", os.Getpid()%250+1))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	return ln.Addr().String()
+}
+
+func newChild(t testing.TB) *child {
+	return &child{t: t, path: filepath.Join(t.TempDir(), "config.json"), listen: freePort(t), operator: freePort(t), log: &lockedBuffer{}}
+}
+
+func (c *child) write(executor, members string, sockets int) {
+	c.t.Helper()
+	file := strings.Replace(fmt.Sprintf(text, executor, members), `"listen":"127.0.0.1:0"`,
+		fmt.Sprintf(`"listen":%q,"operator":%q,"limits":{"cores":1,"memory_mb":96,"sockets":%d}`, c.listen, c.operator, sockets), 1)
+	if err := os.WriteFile(c.path, []byte(file), 0o600); err != nil {
+		c.t.Fatal(err)
+	}
+}
+
+// start starts the process with so many descriptors.
+func (c *child) start(descriptors int) {
+	c.t.Helper()
+	self, err := os.Executable()
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	c.cmd = exec.Command("sh", "-c", fmt.Sprintf("ulimit -n %d && exec %s", descriptors, self))
+	c.cmd.Env = []string{asProcess + "=1", "RELAY_CONFIG=" + c.path}
+	c.cmd.Stdout, c.cmd.Stderr = c.log, c.log
+	if err := c.cmd.Start(); err != nil {
+		c.t.Fatal(err)
+	}
+	c.t.Cleanup(func() {
+		c.cmd.Process.Kill()
+		c.cmd.Wait()
+	})
+}
+
+var asking = &http.Client{Timeout: 2 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+
+func (c *child) ready() bool {
+	r, err := asking.Get("http://" + c.operator + "/-/ready")
+	if err != nil {
+		return false
+	}
+	r.Body.Close()
+	return r.StatusCode/100 == 2
+}
+
+func (c *child) until(what string, holds func() bool) {
+	c.t.Helper()
+	for late := time.Now().Add(enough); !holds(); time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(late) {
+			c.t.Fatalf("not within %s: %s; the log:\n%s", enough, what, c.log)
+		}
+	}
+}
+
+// running plays an executor that runs whatever comes.
+func running(t testing.TB, late time.Duration) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	go func() {
+		for {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go runAll(conn, late)
+		}
+	}()
+	return ln.Addr().String()
+}
+
+func runAll(conn net.Conn, late time.Duration) {
+	defer conn.Close()
+	r, n := bufio.NewReader(conn), 0
+	for {
+		line, err := r.ReadString('\n')
+		if err != nil {
+			return
+		}
+		switch words := strings.Fields(line); words[0] {
+		case "JOIN":
+			fmt.Sscan(words[1], &n) // notices go on behind those that were read
+			time.Sleep(late)
+			io.WriteString(conn, "WELCOME steady 100000\r\n")
+		case "METER":
+			fmt.Fprintf(conn, "METERS %s 0.1 0 0.1 1\r\n", words[1])
+		case "EXEC":
+			var size int
+			fmt.Sscan(words[len(words)-1], &size)
+			r.Discard(size + 2)
+			n++
+			fmt.Fprintf(conn, "EXIT %d %s success 1 2\r\nok\r\n", n, words[1])
+		}
+	}
+}
+
+// isServed sends one request on a connection of its own and tells whether it was served.
+func isServed(at string, id int) bool {
+	conn, err := net.DialTimeout("tcp", at, time.Second)
+	if err != nil {
+		return false
+	}
+	defer conn.Close()
+	conn.SetDeadline(time.Now().Add(5 * time.Second))
+	fields := fmt.Sprintf("id=%016x,at=%d,from=4,kb=10,rank=0.5", id, time.Now().UnixMilli())
+	fmt.Fprintf(conn, "*5\r\n$3\r\nREQ\r\n$1\r\n1\r\n$4\r\nbook\r\n$%d\r\n%s\r\n$1\r\nx\r\n", len(fields), fields)
+	b := make([]byte, 256)
+	n, _ := conn.Read(b)
+	return strings.Contains(string(b[:n]), "done")
+}
+
+// While discovery is down, idle clients take every descriptor that they can get. The server still answers, tells its figures,
+// reads its configuration, reaches another executor, and goes on reporting once discovery is back.
+func TestIdleClientsWhileDiscoveryIsDown(t *testing.T) {
+	const descriptors = 160
+	gone := membersPeer(t)
+	down := gone.LocalAddr().String()
+	gone.Close()
+	c := newChild(t)
+	c.write(running(t, 0), down, descriptors)
+	c.start(descriptors)
+	c.until("it is ready", c.ready)
+	var mu sync.Mutex
+	open := 0
+	for range 3 * descriptors {
+		conn, err := net.DialTimeout("tcp", c.listen, time.Second)
+		if err != nil {
+			continue
+		}
+		mu.Lock()
+		open++
+		mu.Unlock()
+		t.Cleanup(func() { conn.Close() })
+	}
+	if open < descriptors {
+		t.Fatalf("%d idle clients got a connection", open)
+	}
+	c.until("a request is served among idle clients", func() bool { return isServed(c.listen, 1) })
+	c.until("it tells that it is ready", c.ready)
+	another := membersPeer(t)
+	c.write(running(t, 0), another.LocalAddr().String(), descriptors)
+	c.cmd.Process.Signal(syscall.SIGHUP)
+	if got := report(t, another); got != "HB n1 UP" {
+		t.Errorf("reported %q", got)
+	}
+	c.until("a request is served by the other executor", func() bool { return isServed(c.listen, 2) })
+	for n := 3; n < 23; n++ {
+		if !isServed(c.listen, n) {
+			t.Errorf("request %d is not served after discovery returned", n)
+		}
+	}
+	for range 3 {
+		if got := report(t, another); got != "HB n1 UP" {
+			t.Errorf("reported %q", got)
+		}
+	}
+}
+
+// Thirty processes start at once, discovery takes no report, executors are up late, and every third address is held by the
+// process before for a while: nine in ten are ready within 10 s.
+func TestThirtyProcessesStartAtOnce(t *testing.T) {
+	const processes, within = 30, 10 * time.Second
+	slow := membersPeer(t) // it reads nothing
+	var all []*child
+	for i := range processes {
+		c := newChild(t)
+		c.write(running(t, time.Duration(i%5)*200*time.Millisecond), slow.LocalAddr().String(), 1024)
+		if i%3 == 0 {
+			before, err := net.Listen("tcp", c.listen)
+			if err != nil {
+				t.Fatal(err)
+			}
+			time.AfterFunc(time.Duration(500+50*i)*time.Millisecond, func() { before.Close() })
+		}
+		all = append(all, c)
+	}
+	began := time.Now()
+	for _, c := range all {
+		c.start(1024)
+	}
+	took := make(chan time.Duration, processes)
+	for _, c := range all {
+		go func() {
+			for !c.ready() && time.Since(began) < enough {
+				time.Sleep(20 * time.Millisecond)
+			}
+			took <- time.Since(began)
+		}()
+	}
+	inTime, longest := 0, time.Duration(0)
+	for range processes {
+		d := <-took
+		longest = max(longest, d)
+		if d <= within {
+			inTime++
+		}
+	}
+	if inTime < processes*9/10 {
+		t.Errorf("%d of %d were ready within %s, the last after %s", inTime, processes, within, longest)
+	}
+	for i, c := range all {
+		if !isServed(c.listen, i+1) {
+			t.Errorf("process %d does not serve; its log:\n%s", i, c.log)
+		}
+	}
+}
--- a/cmd/puffinsaddle/duties.go
+++ b/cmd/puffinsaddle/duties.go
@@ -20,12 +20,16 @@
 	"puffinsaddle/internal/clock"
 	"puffinsaddle/internal/config"
 	"puffinsaddle/internal/core"
+	"puffinsaddle/internal/distribution"
 	work "puffinsaddle/internal/duties"
 	"puffinsaddle/internal/duty"
 	"puffinsaddle/internal/inventory"
+	"puffinsaddle/internal/net/configwatch"
 	"puffinsaddle/internal/net/session"
 	"puffinsaddle/internal/net/uwsgi"
 	"puffinsaddle/internal/publish"
+	"puffinsaddle/internal/records"
+	"puffinsaddle/internal/relay"
 	"puffinsaddle/internal/state"
 	"puffinsaddle/internal/store"
 	"puffinsaddle/internal/trace"
@@ -50,6 +54,7 @@
 	keeper *work.Keeper
 	desk   *session.Desk
 	copy   *store.Store
+	origin *relay.Origin
 	core   atomic.Pointer[core.Core]
 
 	mu        sync.Mutex
@@ -70,6 +75,9 @@
 	Used    float64              `json:"used"`    // calls in hand below of late
 	Version uint64               `json:"version"` // published, in force
 	Desk    *session.DeskFigures `json:"desk,omitempty"`
+
+	Origin *configwatch.Figures `json:"origin,omitempty"` // of a copy: the relays that watch it
+	Relays *distribution.Report `json:"relays,omitempty"` // of the copy that leads: what the relays reported
 }
 
 // newDuties makes the parts; nothing is sent yet. nil: the operator's file has none.
@@ -121,8 +129,15 @@
 	d := h.cfg.Operator.Duties
 	g := &duty.Grantor{Rules: d.Rules(), Seed: 1, Most: d.Allot.Servers, Plant: h.cfg.Operator.Lab.Plant}
 	h.desk = session.NewDesk(copy, g, d.Sessions, h.steady, h.log)
+	h.desk.CheckChange = func(c records.Change) error { return checkChange(copy, c) }
 	h.desk.Led = func(term uint64) { h.trace.Add(trace.Event{What: trace.Office, Term: term}, 0) }
 	copy.ServeSessions(h.desk.Serve)
+	h.origin = relay.NewOrigin(copy, h.steady, h.log, h.cfg.Operator.Lab.Plant)
+	h.origin.Agreed = func(c records.Commit) {
+		h.trace.Add(trace.Event{What: trace.Agreed, N: c.Revision, Text: c.After.String()}, 0)
+	}
+	copy.ServeWatches(h.origin.Serve)
+	go h.origin.Run(ctx)
 	go h.desk.Run(ctx)
 }
 
@@ -246,7 +261,7 @@
 		if c.Fence != nil {
 			e.Duty, e.Epoch, e.Cause = c.Fence.Name, c.Fence.Epoch, r.Error
 		}
-		if c.Op == state.Compare {
+		if c.Op == state.Compare || c.Op == state.Change {
 			e.N = r.N
 		}
 		if c.Op == state.Begin && r.Fresh {
@@ -284,6 +299,10 @@
 		v := h.desk.Figures()
 		f.Desk = &v
 	}
+	if h.origin != nil {
+		v, sum := h.origin.Figures(), h.origin.Report()
+		f.Origin, f.Relays = &v, &sum
+	}
 	return f
 }
 
--- a/cmd/puffinsaddle/main.go
+++ b/cmd/puffinsaddle/main.go
@@ -155,6 +155,12 @@
 	c = core.New(clk, log, cfg.Settings, cfg.Seed, runner, calls, ledger)
 	c.Room(int(cfg.MemoryMB * keyedPart * (1 << 20)))
 	held.serve(ctx, c, farm)
+	watch, err := newWatch(cfg, held.tracer(), farm, log)
+	if err != nil {
+		return err
+	}
+	defer watch.close()
+	watch.run(ctx)
 	given, fronts, sockets, err := doors(cfg, c, clk, log)
 	defer given.close()
 	if err != nil {
@@ -193,7 +199,8 @@
 				Rejected int           `json:"config_rejected"`
 				Duties   *holding      `json:"duties,omitempty"`
 				Store    *store.Status `json:"store,omitempty"`
-			}{c.Figures(), applied, rejected, held.figures(), storeStatus(state)}
+				Records  *watchFigures `json:"records,omitempty"`
+			}{c.Figures(), applied, rejected, held.figures(), storeStatus(state), watch.figures()}
 		}, More: held.calls()}, log)
 		if err != nil {
 			return err
--- /dev/null
+++ b/cmd/puffinsaddle/records.go
@@ -0,0 +1,313 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"slices"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"puffinsaddle/internal/clock"
+	"puffinsaddle/internal/config"
+	"puffinsaddle/internal/distribution"
+	"puffinsaddle/internal/net/configwatch"
+	"puffinsaddle/internal/net/session"
+	"puffinsaddle/internal/net/uwsgi"
+	"puffinsaddle/internal/publish"
+	"puffinsaddle/internal/records"
+	"puffinsaddle/internal/relay"
+	"puffinsaddle/internal/replica"
+	"puffinsaddle/internal/state"
+	"puffinsaddle/internal/store"
+	"puffinsaddle/internal/trace"
+)
+
+// settingNames are the settings that order servers know.
+var settingNames = []string{publishedOperator, publishedInventory + ".csv", publishedInventory + ".yml", publishedInventory + ".yaml"}
+
+// checkChange refuses a change whose values make no sense, or after which the settings would not fit together.
+func checkChange(copy *store.Store, c records.Change) error {
+	settings := map[string][]byte{}
+	copy.View(func(st *state.State, _ uint64) {
+		for _, name := range settingNames {
+			if value, _, ok := st.Records.Table().Get(records.Key{Kind: records.Setting, Name: name}); ok {
+				settings[name] = value
+			}
+		}
+	})
+	var first records.Key
+	for _, p := range c.Puts {
+		if err := records.CheckValue(p); err != nil {
+			return err
+		}
+		if p.Kind != records.Setting {
+			continue
+		}
+		if !slices.Contains(settingNames, p.Name) {
+			return &records.Refusal{Key: p.Key, Reason: fmt.Errorf("%w: there are the settings %s", records.ErrRejected, strings.Join(settingNames, ", "))}
+		}
+		settings[p.Name] = p.Value
+		first = p.Key
+	}
+	for _, k := range c.Deletes {
+		if k.Kind == records.Setting {
+			delete(settings, k.Name)
+			first = k
+		}
+	}
+	if first == (records.Key{}) {
+		return nil
+	}
+	if _, err := servers(settingFiles(settings)); err != nil {
+		return &records.Refusal{Key: first, Reason: fmt.Errorf("%w: %w", records.ErrRejected, err)}
+	}
+	return nil
+}
+
+// settingFiles are settings as the files that they were.
+func settingFiles(settings map[string][]byte) (files []publish.File) {
+	for _, name := range settingNames {
+		if text, ok := settings[name]; ok {
+			files = append(files, publish.File{Name: name, Text: text})
+		}
+	}
+	return files
+}
+
+// watch is an order server's copy of the records. A nil one is off, and its methods then do nothing.
+type watch struct {
+	replica  *replica.Replica
+	client   *configwatch.Client
+	farm     *uwsgi.Runner
+	log      zerolog.Logger
+	settings map[string][]byte
+}
+
+// watchFigures is what operators see of it.
+type watchFigures struct {
+	configwatch.ClientFigures
+	Revision uint64              `json:"revision"`
+	Digest   string              `json:"digest"`
+	Records  int                 `json:"records"`
+	Report   distribution.Report `json:"report"`
+}
+
+// newWatch makes the parts; nothing is sent yet. nil: the operator's file names no relays.
+func newWatch(cfg *config.Config, t *trace.Log, farm *uwsgi.Runner, log zerolog.Logger) (*watch, error) {
+	d := cfg.Operator.Distribution
+	if len(d.Relays) == 0 {
+		return nil, nil
+	}
+	w := &watch{farm: farm, log: log, settings: map[string][]byte{}}
+	plant := cfg.Operator.Lab.Plant
+	w.replica = replica.Open(replica.Options{Name: cfg.Name, Path: d.Path, Check: records.CheckValue, Use: w.use, Log: log, Plant: plant,
+		Committed: func(c records.Commit) {
+			t.Add(trace.Event{What: trace.InForce, Index: c.Revision, N: c.Revision, Text: c.After.String()}, 0)
+		},
+		Adopted:  func(p distribution.Position) { traceInstalled(t, p) },
+		Reported: func(revision uint64) { t.Add(trace.Event{What: trace.Reported, N: revision}, 0) }})
+	traceInstalled(t, w.replica.Position())
+	w.client = configwatch.NewClient(configwatch.ClientOptions{Name: cfg.Name, Steady: clock.Steady(), Log: log, Plant: plant, Follower: w.replica,
+		Selector: distribution.NewSelector(d.Relays, distribution.Place{Zone: d.Zone, Region: d.Region}, cfg.Seed)})
+	return w, nil
+}
+
+func traceInstalled(t *trace.Log, p distribution.Position) {
+	t.Add(trace.Event{What: trace.Installed, N: p.Revision, Text: p.Digest.String()}, 0)
+}
+
+// use puts settings into force, all together. Settings that do not fit together leave those before in force.
+func (w *watch) use(changed map[string][]byte) {
+	for name, value := range changed {
+		if value == nil {
+			delete(w.settings, name)
+		} else {
+			w.settings[name] = value
+		}
+	}
+	list, err := servers(settingFiles(w.settings))
+	if err != nil {
+		w.log.Error().Err(err).Msg("settings not taken; those before stay in force")
+		return
+	}
+	if w.farm != nil && len(list) > 0 {
+		w.farm.Move(list)
+	}
+}
+
+func (w *watch) run(ctx context.Context) {
+	if w != nil {
+		go w.client.Run(ctx)
+	}
+}
+
+func (w *watch) close() {
+	if w != nil {
+		w.replica.Close()
+	}
+}
+
+func (w *watch) figures() *watchFigures {
+	if w == nil {
+		return nil
+	}
+	p := w.replica.Position()
+	return &watchFigures{w.client.Figures(), p.Revision, p.Digest.String(), w.replica.Records(), w.replica.Report()}
+}
+
+// tracer is the trace of the process; nil: it is off.
+func (h *duties) tracer() *trace.Log {
+	if h == nil {
+		return nil
+	}
+	return h.trace
+}
+
+// relayCmd runs a relay.
+type relayCmd struct {
+	Operator string `required:"" env:"PUFFINSADDLE_OPERATOR" type:"existingfile" help:"An operator's file with the section relay."`
+}
+
+// Run serves until SIGTERM or Ctrl-C.
+func (c *relayCmd) Run(out io.Writer) error {
+	file, err := config.LoadOperator(c.Operator)
+	if err != nil {
+		return fmt.Errorf("%w: %v", errWrong, err)
+	}
+	set := file.Relay
+	if !set.On() {
+		return fmt.Errorf("%w: %s: relay.listen is missing", errWrong, c.Operator)
+	}
+	if file.Lab != (config.Lab{}) && os.Getenv("PUFFINSADDLE_LAB") == "" {
+		return fmt.Errorf("%w: %s: \"lab\" is set, and this process is not the laboratory's (PUFFINSADDLE_LAB)", errWrong, c.Operator)
+	}
+	if set.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(set.MemoryMB * memoryPart * (1 << 20)))
+	}
+	zerolog.TimeFieldFormat = zerolog.TimeFormatUnixMs
+	log := zerolog.New(out).With().Timestamp().Str("name", set.Name).Logger().Level(zerolog.InfoLevel)
+	steady := clock.Steady()
+	var t *trace.Log
+	if file.Lab.Trace != "" {
+		if t, err = trace.Open(file.Lab.Trace, set.Name, steady); err != nil {
+			return err
+		}
+		defer t.Close()
+		t.Add(trace.Event{What: trace.Up}, 0)
+	}
+	limits := distribution.DefaultLimits
+	limits.Watchers, limits.Snapshots = set.Watchers, set.Snapshots
+	r, err := relay.Open(relay.Options{Name: set.Name, Listen: set.Listen, Copies: set.Copies, Elsewhere: set.Elsewhere, Path: set.Path, Limits: limits,
+		Seed: seedOf(set.Name), Steady: steady, Log: log, Plant: file.Lab.Plant,
+		Committed: func(c records.Commit) {
+			t.Add(trace.Event{What: trace.InForce, Index: c.Revision, N: c.Revision, Text: c.After.String()}, 0)
+		},
+		Adopted:  func(p distribution.Position) { traceInstalled(t, p) },
+		Reported: func(revision uint64) { t.Add(trace.Event{What: trace.Reported, N: revision}, 0) }})
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	if set.Figures != "" {
+		if err := serveFigures(ctx, set.Figures, r); err != nil {
+			return err
+		}
+	}
+	log.Info().Str("at", r.Addr()).Msg("relaying configuration")
+	return r.Run(ctx)
+}
+
+const figuresTimeout = 2 * time.Second // of a call for a relay's figures
+
+// serveFigures answers GET /-/metrics until the context ends.
+func serveFigures(ctx context.Context, at string, r *relay.Relay) error {
+	ln, err := net.Listen("tcp", at)
+	if err != nil {
+		return err
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /-/metrics", func(w http.ResponseWriter, _ *http.Request) { json.NewEncoder(w).Encode(r.Figures()) })
+	s := &http.Server{Handler: mux, ReadTimeout: figuresTimeout, WriteTimeout: figuresTimeout}
+	context.AfterFunc(ctx, func() { s.Close() })
+	go s.Serve(ln)
+	return nil
+}
+
+// seedOf draws a process's chances from its name, so that no two act alike.
+func seedOf(name string) uint64 { return records.Checksum([]byte(name)) }
+
+// changeCmd changes records.
+type changeCmd struct {
+	with
+	File string `required:"" type:"existingfile" help:"The change as JSON: base, puts (kind, name, text or value) and deletes (kind, name)."`
+}
+
+// changeFile is a change as operators write it: values are JSON, or text.
+type changeFile struct {
+	Base uint64 `json:"base"`
+	Puts []struct {
+		records.Key
+		Value json.RawMessage `json:"value"`
+		Text  *string         `json:"text"`
+	} `json:"puts"`
+	Deletes []records.Key `json:"deletes"`
+}
+
+func readChange(path string) (c records.Change, err error) {
+	f, err := os.Open(path)
+	if err != nil {
+		return c, err
+	}
+	defer f.Close()
+	var file changeFile
+	d := json.NewDecoder(io.LimitReader(f, 4*records.MaxChangeBytes))
+	d.DisallowUnknownFields()
+	if err := d.Decode(&file); err != nil {
+		return c, fmt.Errorf("%s: %w", path, err)
+	}
+	c = records.Change{Base: file.Base, Deletes: file.Deletes}
+	for i, p := range file.Puts {
+		switch {
+		case (p.Text == nil) == (p.Value == nil):
+			return c, fmt.Errorf("%s: puts[%d]: %s needs either value or text", path, i, p.Key)
+		case p.Text != nil:
+			c.Puts = append(c.Puts, records.Put{Key: p.Key, Value: []byte(*p.Text)})
+		default:
+			c.Puts = append(c.Puts, records.Put{Key: p.Key, Value: p.Value})
+		}
+	}
+	if err := c.Check(); err != nil {
+		return c, fmt.Errorf("%s: %w", path, err)
+	}
+	return c, nil
+}
+
+// Run has the change agreed on.
+func (c *changeCmd) Run(out io.Writer) error {
+	change, err := readChange(c.File)
+	if err != nil {
+		return fmt.Errorf("%w: %v", errWrong, err)
+	}
+	return c.talk(func(ctx context.Context, client *session.Client, _ config.Duties) error {
+		r, err := client.Do(ctx, state.Command{Op: state.Change, Change: &change})
+		if err != nil {
+			if errors.Is(err, session.ErrUnconfirmed) {
+				err = fmt.Errorf("%w; look at the revision before it is tried again", err)
+			}
+			return err
+		}
+		return c.told(out, map[string]uint64{"revision": r.N}, fmt.Sprintf("revision %d", r.N))
+	})
+}
--- a/internal/config/duties.go
+++ b/internal/config/duties.go
@@ -10,6 +10,7 @@
 
 	"puffinsaddle/internal/admit"
 	"puffinsaddle/internal/allot"
+	"puffinsaddle/internal/distribution"
 	"puffinsaddle/internal/duty"
 )
 
@@ -62,7 +63,7 @@
 }
 
 // Plants are the bugs that the laboratory can plant.
-var Plants = slices.Concat(duty.Plants, admit.Plants)
+var Plants = slices.Concat(duty.Plants, admit.Plants, distribution.Plants)
 
 // Lab is set by the laboratory alone.
 type Lab struct {
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -17,7 +17,11 @@
 	Inventory Inventory `yaml:"inventory"`
 	Duties    Duties    `yaml:"duties"`
 	Lab       Lab       `yaml:"lab"`
-	Text      []byte    `yaml:"-"` // the file, as it is kept in the store
+
+	Distribution Distribution `yaml:"distribution"`
+	Relay        Relay        `yaml:"relay"`
+
+	Text []byte `yaml:"-"` // the file, as it is kept in the store
 }
 
 // Store sets up the replicated store. Without it nothing is kept and effects are remembered in memory.
@@ -64,7 +68,7 @@
 
 // ParseOperator reads, checks and completes an operator's file.
 func ParseOperator(text []byte) (Operator, error) {
-	o := Operator{Text: text, Inventory: Inventory{Port: 3031}, Duties: defaultDuties, Store: Store{CompareMs: 1000}, UWSGI: UWSGI{MaxBody: 64 << 10, MaxResult: 1 << 20, ReadMs: 2000, Conns: 128, KB: 24}}
+	o := Operator{Text: text, Inventory: Inventory{Port: 3031}, Duties: defaultDuties, Relay: defaultRelay, Store: Store{CompareMs: 1000}, UWSGI: UWSGI{MaxBody: 64 << 10, MaxResult: 1 << 20, ReadMs: 2000, Conns: 128, KB: 24}}
 	d := yaml.NewDecoder(bytes.NewReader(text))
 	d.KnownFields(true)
 	if err := d.Decode(&o); err != nil && len(bytes.TrimSpace(text)) > 0 {
@@ -90,6 +94,12 @@
 	if err := o.Lab.check(); err != nil {
 		return o, err
 	}
+	if err := o.Distribution.check(o); err != nil {
+		return o, err
+	}
+	if err := o.Relay.check(); err != nil {
+		return o, err
+	}
 	switch {
 	case o.Inventory.Path == "" && o.Inventory.Group != "":
 		return o, errors.New("inventory.path is missing, and inventory.group is set")
--- /dev/null
+++ b/internal/lab/platform.go
@@ -0,0 +1,63 @@
+package lab
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+
+	"puffinsaddle/internal/trace"
+)
+
+// PlatformFile is what the platform's file says to an order server of a laboratory.
+type PlatformFile struct {
+	Name     string
+	Listen   string
+	Executor string
+	Vault    string
+	Operator string // the operators' address
+	Seed     uint64
+	Servers  int // of the whole fleet
+	Slots    int // of the vault
+	MemoryMB int
+	Sockets  int
+}
+
+// Write writes the file.
+func (p PlatformFile) Write(path string) error {
+	settings := m{
+		"classes": []m{{"name": reading, "aim": 1e9, "deadline": 2e9, "worth": 1.0, "lateValue": 0.2, "idempotency": "safe"},
+			{"name": booking, "aim": 1e9, "deadline": 2e9, "worth": 4.0, "lateValue": 0.2, "idempotency": "unsafe"}},
+		"extra": m{"callers": 1, "nCores": 4, "heapKb": 20000.0, "entryKb": 1.0, "runMemFactor": 4.0, "freshFor": 0, "passesDeadline": true,
+			"say": "none", "downstream": "shared", "callsOut": float64(p.Slots) / float64(p.Servers), "callsOver": int64(2e9), "linger": int64(5e6),
+			"gauges": []string{"cpu_busy", "runnable"}, "callsByClass": []bool{true, true}, "classSkipWorth": []float64{partWorth, 0}},
+		"limits":  m{"maxRetryAfter": 1000000000, "retryAfter": true},
+		"clients": m{"marksRetry": true},
+		"rules":   m{"answerSlack": 60000000, "cold": 2000000000, "coldShare": 0.5, "drainGrace": 1000000000, "fall": 3000000000, "fallMultiple": 8.0},
+		"servers": p.Servers, "tick": 4000000,
+	}
+	file := m{"name": p.Name, "listen": p.Listen, "executor": p.Executor, "vault": p.Vault, "operator": p.Operator,
+		"seed": fmt.Sprintf("%016x", p.Seed), "stop_ms": stopMs, "limits": m{"cores": 1.0, "memory_mb": p.MemoryMB, "sockets": p.Sockets}, "settings": settings}
+	b, err := json.MarshalIndent(file, "", " ")
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(path, b, 0o644)
+}
+
+// StandIn answers in place of an executor, for processes that get no requests.
+type StandIn struct{ x *executor }
+
+// NewStandIn opens one.
+func NewStandIn(name string) (*StandIn, error) {
+	x, err := newExecutor(name, func(trace.Event) {}, func() (bool, float64) { return false, 0 })
+	if err != nil {
+		return nil, err
+	}
+	return &StandIn{x}, nil
+}
+
+// Addr is where it listens.
+func (s *StandIn) Addr() string { return s.x.ln.Addr().String() }
+
+// Close ends it.
+func (s *StandIn) Close() { s.x.ln.Close() }
--- a/internal/lab/report.go
+++ b/internal/lab/report.go
@@ -190,7 +190,7 @@
 		{"most shares in force", fmt.Sprintf("%.1f of %.1f", float64(p.Found.SharesMost)/1000, float64(p.Outcome.Pool)/1000)}}
 }
 
-// Timeline, Latency and Shares are for the template.
+// Timeline draws who held what when.
 func (p Page) Timeline() template.HTML { return p.timeline() }
 
 // Latency draws the load's.
--- a/internal/lab/run.go
+++ b/internal/lab/run.go
@@ -355,19 +355,8 @@
 
 // write writes the two files of a server.
 func (r *run) write(p *proc) error {
-	settings := m{
-		"classes": []m{{"name": reading, "aim": 1e9, "deadline": 2e9, "worth": 1.0, "lateValue": 0.2, "idempotency": "safe"},
-			{"name": booking, "aim": 1e9, "deadline": 2e9, "worth": 4.0, "lateValue": 0.2, "idempotency": "unsafe"}},
-		"extra": m{"callers": 1, "nCores": 4, "heapKb": 20000.0, "entryKb": 1.0, "runMemFactor": 4.0, "freshFor": 0, "passesDeadline": true,
-			"say": "none", "downstream": "shared", "callsOut": float64(r.Slots) / float64(r.Servers), "callsOver": int64(2e9), "linger": int64(5e6),
-			"gauges": []string{"cpu_busy", "runnable"}, "callsByClass": []bool{true, true}, "classSkipWorth": []float64{partWorth, 0}},
-		"limits":  m{"maxRetryAfter": 1000000000, "retryAfter": true},
-		"clients": m{"marksRetry": true},
-		"rules":   m{"answerSlack": 60000000, "cold": 2000000000, "coldShare": 0.5, "drainGrace": 1000000000, "fall": 3000000000, "fallMultiple": 8.0},
-		"servers": r.Servers, "tick": 4000000,
-	}
-	config := m{"name": p.name, "listen": p.listen, "executor": p.exec.ln.Addr().String(), "vault": r.vault.ln.Addr().String(), "operator": p.ops,
-		"seed": fmt.Sprintf("%016x", r.Seed*1000+uint64(p.gen)), "stop_ms": stopMs, "limits": m{"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "settings": settings}
+	config := PlatformFile{Name: p.name, Listen: p.listen, Executor: p.exec.ln.Addr().String(), Vault: r.vault.ln.Addr().String(), Operator: p.ops,
+		Seed: r.Seed*1000 + uint64(p.gen), Servers: r.Servers, Slots: r.Slots, MemoryMB: 192, Sockets: 1024}
 	copies := m{}
 	for id, l := range p.links {
 		copies[id] = l.Addr()
@@ -399,14 +388,11 @@
 			operator["store"].(m)["compare_ms"] = 100
 		}
 	}
-	b, err := json.MarshalIndent(config, "", " ")
-	if err != nil {
+	if err := config.Write(filepath.Join(p.dir, "config.json")); err != nil {
 		return err
 	}
-	if err := os.WriteFile(filepath.Join(p.dir, "config.json"), b, 0o644); err != nil {
-		return err
-	}
-	if b, err = yaml.Marshal(operator); err != nil {
+	b, err := yaml.Marshal(operator)
+	if err != nil {
 		return err
 	}
 	return os.WriteFile(filepath.Join(p.dir, "operator.yaml"), b, 0o644)
--- /dev/null
+++ b/internal/lab/scale/journal.go
@@ -0,0 +1,68 @@
+package scale
+
+import (
+	"bufio"
+	"encoding/json"
+	"os"
+	"sync"
+	"time"
+
+	"puffinsaddle/internal/clock"
+	"puffinsaddle/internal/trace"
+)
+
+// journal writes down what many hollow servers of one process did, for the checker.
+type journal struct {
+	steady *clock.Clock
+	mu     sync.Mutex
+	f      *os.File
+	w      *bufio.Writer
+	stop   chan struct{}
+}
+
+const flushEvery = 200 * time.Millisecond
+
+func openJournal(path string, steady *clock.Clock) (*journal, error) {
+	f, err := os.Create(path)
+	if err != nil {
+		return nil, err
+	}
+	j := &journal{steady: steady, f: f, w: bufio.NewWriterSize(f, 256<<10), stop: make(chan struct{})}
+	go func() {
+		t := time.NewTicker(flushEvery)
+		defer t.Stop()
+		for {
+			select {
+			case <-t.C:
+				j.mu.Lock()
+				j.w.Flush()
+				j.mu.Unlock()
+			case <-j.stop:
+				return
+			}
+		}
+	}()
+	return j, nil
+}
+
+// add writes an event with the time of now, or its own where it has one.
+func (j *journal) add(e trace.Event) {
+	if e.At == 0 {
+		e.At = j.steady.Now()
+	}
+	b, err := json.Marshal(e)
+	if err != nil {
+		return
+	}
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.w.Write(append(b, '\n'))
+}
+
+func (j *journal) close() error {
+	close(j.stop)
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.w.Flush()
+	return j.f.Close()
+}
--- /dev/null
+++ b/internal/lab/scale/load.go
@@ -0,0 +1,200 @@
+package scale
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"puffinsaddle/internal/clock"
+	"puffinsaddle/internal/net/session"
+	"puffinsaddle/internal/records"
+	"puffinsaddle/internal/state"
+)
+
+const (
+	changesADay  = 24000.0
+	burstChanges = 100
+	loaders      = 6 // changes of the first load that are under way at once
+	retryPause   = 50 * time.Millisecond
+	fatKeys      = 400 // of a change that is meant to fill the buffers of watchers that do not read
+)
+
+// writer has records changed.
+type writer struct {
+	root   context.Context // of the run: a change that has begun is seen through, though its phase ends
+	client *session.Client
+	routes int
+	tenant int
+	rng    *rand.Rand
+
+	mu     sync.Mutex
+	latest uint64 // revision
+	n      int    // changes agreed on
+	serial int
+}
+
+func newWriter(ctx context.Context, f *fleet) *writer {
+	w := &writer{root: ctx, routes: f.Routes, tenant: f.Tenants, rng: rand.New(rand.NewPCG(f.Seed, 21))}
+	rules := terms(renewMs, 0)
+	w.client = session.NewClient(session.Options{Me: "operator#scale", Copies: f.stores, Rules: rules, Seed: f.Seed, Steady: clock.Steady(), Log: zerolog.Nop()})
+	go w.client.Run(ctx)
+	return w
+}
+
+func route(i, version int) records.Put {
+	v, _ := json.Marshal(records.RouteValue{Service: fmt.Sprintf("svc-%05d", i/9), Class: "book-delivery", Group: fmt.Sprintf("group-%02d", i%40), Weight: float64(version%9 + 1),
+		Regions: []string{"r1", "r2"}})
+	return records.Put{Key: records.Key{Kind: records.Route, Name: fmt.Sprintf("svc-%05d/%05d", i/9, i)}, Value: v}
+}
+
+func tenant(i, version int) records.Put {
+	v, _ := json.Marshal(records.TenantValue{Share: 0.0000025, Limit: float64(version%500) + 0.5})
+	return records.Put{Key: records.Key{Kind: records.Tenant, Name: fmt.Sprintf("tenant-%06d", i)}, Value: v}
+}
+
+// load fills the store.
+func (w *writer) load(ctx context.Context) error {
+	changes := make(chan records.Change)
+	errs := make(chan error, loaders)
+	for range loaders {
+		go func() {
+			for c := range changes {
+				if err := w.do(ctx, c); err != nil {
+					errs <- err
+					return
+				}
+			}
+			errs <- nil
+		}()
+	}
+	var c records.Change
+	send := func() bool {
+		select {
+		case changes <- c:
+			c = records.Change{}
+			return true
+		case <-ctx.Done():
+			return false
+		}
+	}
+	for i := range w.routes + w.tenant {
+		if i < w.routes {
+			c.Puts = append(c.Puts, route(i, 0))
+		} else {
+			c.Puts = append(c.Puts, tenant(i-w.routes, 0))
+		}
+		if len(c.Puts) == records.MaxChangeKeys*3/4 && !send() {
+			break
+		}
+	}
+	if len(c.Puts) > 0 {
+		send()
+	}
+	close(changes)
+	for range loaders {
+		if err := <-errs; err != nil {
+			return err
+		}
+	}
+	return ctx.Err()
+}
+
+// do has a change agreed on. It is tried again where it is not known what came of it: to put the same again does no harm.
+func (w *writer) do(ctx context.Context, c records.Change) error {
+	for ctx.Err() == nil {
+		r, err := w.client.Do(ctx, state.Command{Op: state.Change, Change: &c})
+		if err == nil {
+			w.mu.Lock()
+			w.latest = max(w.latest, r.N)
+			w.n++
+			w.mu.Unlock()
+			return nil
+		}
+		if !errors.Is(err, session.ErrNotSent) && !errors.Is(err, session.ErrUnconfirmed) {
+			return err
+		}
+		time.Sleep(retryPause)
+	}
+	return ctx.Err()
+}
+
+// next is a change as the day brings it: a few keys, now and then a key taken out or put back.
+func (w *writer) next(keys int) (c records.Change) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.serial++
+	for i := range keys {
+		if i%2 == 0 {
+			c.Puts = append(c.Puts, tenant((w.rng.IntN(w.tenant/keys+1)*keys+i)%w.tenant, w.serial))
+		} else {
+			c.Puts = append(c.Puts, route((w.rng.IntN(w.routes/keys+1)*keys+i)%w.routes, w.serial))
+		}
+	}
+	seen := map[records.Key]bool{}
+	kept := c.Puts[:0]
+	for _, p := range c.Puts {
+		if !seen[p.Key] {
+			seen[p.Key] = true
+			kept = append(kept, p)
+		}
+	}
+	c.Puts = kept
+	extra := records.Key{Kind: records.Tenant, Name: fmt.Sprintf("extra-%02d", w.serial%40)}
+	if w.serial/40%2 == 0 {
+		p := tenant(0, w.serial)
+		p.Key = extra
+		c.Puts = append(c.Puts, p)
+	} else {
+		c.Deletes = append(c.Deletes, extra)
+	}
+	return c
+}
+
+const keysAChange = 3
+
+// steady makes changes at a rate, by chance, until the context ends.
+func (w *writer) steady(ctx context.Context, perSecond float64, keys int) {
+	for {
+		w.mu.Lock()
+		wait := time.Duration(w.rng.ExpFloat64() / perSecond * float64(time.Second))
+		w.mu.Unlock()
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(wait):
+		}
+		w.do(w.root, w.next(keys))
+	}
+}
+
+// burst makes many changes within a second.
+func (w *writer) burst(ctx context.Context, n int) {
+	var wait sync.WaitGroup
+	t := time.NewTicker(time.Second / time.Duration(n))
+	defer t.Stop()
+	for range n {
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+		}
+		wait.Add(1)
+		go func() {
+			defer wait.Done()
+			w.do(w.root, w.next(keysAChange))
+		}()
+	}
+	wait.Wait()
+}
+
+// agreed is the latest revision that this writer knows, and how many changes it made.
+func (w *writer) agreed() (revision uint64, changes int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.latest, w.n
+}
--- /dev/null
+++ b/internal/lab/scale/measure.go
@@ -0,0 +1,159 @@
+package scale
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"time"
+
+	"puffinsaddle/internal/distribution"
+	"puffinsaddle/internal/net/configwatch"
+	"puffinsaddle/internal/net/session"
+	"puffinsaddle/internal/relay"
+)
+
+// machineMemory is the memory of the machine, in bytes.
+func machineMemory() (int64, error) { return procField("/proc/meminfo", "MemTotal:") }
+
+// residentMemory is what a process has in memory, in bytes.
+func residentMemory(pid int) (int64, error) {
+	return procField(fmt.Sprintf("/proc/%d/status", pid), "VmRSS:")
+}
+
+// procField reads a field in kB of one of the kernel's files.
+func procField(path, field string) (int64, error) {
+	f, err := os.Open(path)
+	if err != nil {
+		return 0, err
+	}
+	defer f.Close()
+	for in := bufio.NewScanner(f); in.Scan(); {
+		words := strings.Fields(in.Text())
+		if len(words) >= 2 && words[0] == field {
+			kb, err := strconv.ParseInt(words[1], 10, 64)
+			return kb << 10, err
+		}
+	}
+	return 0, fmt.Errorf("scale: %s has no %s", path, field)
+}
+
+// processorTime is what a process's threads have used, in seconds.
+func processorTime(pid int) (seconds float64) {
+	files, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/schedstat", pid))
+	if err != nil {
+		return 0
+	}
+	for _, path := range files {
+		b, err := os.ReadFile(path)
+		if err != nil {
+			continue // the thread has ended
+		}
+		if words := strings.Fields(string(b)); len(words) > 0 {
+			ns, _ := strconv.ParseFloat(words[0], 64)
+			seconds += ns / 1e9
+		}
+	}
+	return seconds
+}
+
+// serverFigures is what the laboratory reads of an order server.
+type serverFigures struct {
+	Duties *struct {
+		Me      string               `json:"me"`
+		Present bool                 `json:"present"`
+		Desk    *session.DeskFigures `json:"desk"`
+		Origin  *configwatch.Figures `json:"origin"`
+		Relays  *distribution.Report `json:"relays"`
+		Held    map[string]uint64    `json:"held"`
+	} `json:"duties"`
+	Records *struct {
+		configwatch.ClientFigures
+		Revision uint64 `json:"revision"`
+		Digest   string `json:"digest"`
+	} `json:"records"`
+}
+
+var web = &http.Client{Timeout: 2 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+
+func readFigures(at string, into any) error {
+	r, err := web.Get("http://" + at + "/-/metrics")
+	if err != nil {
+		return err
+	}
+	defer r.Body.Close()
+	return json.NewDecoder(io.LimitReader(r.Body, 4<<20)).Decode(into)
+}
+
+// sample is what is read at one moment.
+type sample struct {
+	at           time.Time
+	leader       *process
+	leaderCPU    float64
+	configBytes  uint64
+	sessionBytes uint64
+	flights      uint64
+	relayCPU     map[string]float64
+	relayBytes   map[string]uint64
+	hollowCPU    float64
+	hollowBytes  uint64
+}
+
+// take reads all counters.
+func (f *fleet) take() (s sample) {
+	s.at = time.Now()
+	s.leader = f.leader()
+	if s.leader != nil {
+		var v serverFigures
+		if readFigures(s.leader.figures, &v) == nil && v.Duties != nil {
+			s.configBytes = v.Duties.Origin.Sent + v.Duties.Origin.Received
+			s.sessionBytes = v.Duties.Desk.Sent + v.Duties.Desk.Received
+			s.flights = v.Duties.Desk.Flights
+		}
+		s.leaderCPU = processorTime(s.leader.pid())
+	}
+	s.relayCPU, s.relayBytes = map[string]float64{}, map[string]uint64{}
+	for _, p := range f.relays {
+		var v relay.Figures
+		if readFigures(p.figures, &v) == nil {
+			s.relayCPU[p.name] = processorTime(p.pid())
+			s.relayBytes[p.name] = v.Serving.Sent + v.Serving.Received + v.Watching.Sent + v.Watching.Received
+		}
+	}
+	for _, h := range f.hollows {
+		s.hollowCPU += processorTime(h.pid())
+		if a, err := h.order(hollowOrder{Kind: orderFigures}); err == nil {
+			s.hollowBytes += a.Bytes
+		}
+	}
+	return s
+}
+
+// rates are the differences of two samples, a second.
+type rates struct {
+	leaderCPU, configBytes, sessionBytes, flights float64
+	relayCPU, relayBytes                          float64 // the most of any
+	hollowCPU, hollowBytes                        float64
+}
+
+func between(a, b sample) (r rates) {
+	seconds := b.at.Sub(a.at).Seconds()
+	if a.leader == b.leader && a.leader != nil {
+		r.leaderCPU = (b.leaderCPU - a.leaderCPU) / seconds
+		r.configBytes = float64(b.configBytes-a.configBytes) / seconds
+		r.sessionBytes = float64(b.sessionBytes-a.sessionBytes) / seconds
+		r.flights = float64(b.flights-a.flights) / seconds
+	}
+	for name := range b.relayCPU {
+		r.relayCPU = max(r.relayCPU, (b.relayCPU[name]-a.relayCPU[name])/seconds)
+		r.relayBytes = max(r.relayBytes, float64(b.relayBytes[name]-a.relayBytes[name])/seconds)
+	}
+	r.hollowCPU = (b.hollowCPU - a.hollowCPU) / seconds
+	r.hollowBytes = float64(b.hollowBytes-a.hollowBytes) / seconds
+	return r
+}
--- /dev/null
+++ b/internal/lab/scale/report.go
@@ -0,0 +1,121 @@
+package scale
+
+import (
+	"bytes"
+	"fmt"
+	"html/template"
+	"os"
+
+	svg "github.com/ajstarks/svgo"
+)
+
+// Sizes of a chart, in pixels.
+const (
+	chartWidth  = 520
+	chartHeight = 220
+	chartLeft   = 90
+	chartTop    = 24
+	chartBottom = 30
+)
+
+// series is one curve of a chart.
+type series struct {
+	name  string
+	color string
+	value func(Point) float64
+}
+
+// chart draws curves over the number of servers.
+func chart(title, unit string, points []Point, all ...series) template.HTML {
+	var b bytes.Buffer
+	c := svg.New(&b)
+	c.Start(chartWidth, chartHeight+18*len(all))
+	c.Text(4, 14, title, "font-size:12px;font-weight:bold")
+	top, right := 0.0, float64(points[len(points)-1].Servers)
+	for _, s := range all {
+		for _, p := range points {
+			top = max(top, s.value(p))
+		}
+	}
+	if top == 0 {
+		top = 1
+	}
+	height, width := chartHeight-chartTop-chartBottom, chartWidth-chartLeft-20
+	x := func(servers float64) int { return chartLeft + int(servers/right*float64(width)) }
+	y := func(v float64) int { return chartTop + height - int(v/top*float64(height)) }
+	for i := range 5 {
+		v := top * float64(i) / 4
+		c.Line(chartLeft, y(v), chartLeft+width, y(v), "stroke:#eee")
+		c.Text(chartLeft-4, y(v)+4, fmt.Sprintf("%.3g %s", v, unit), "text-anchor:end;font-size:10px;fill:#555")
+	}
+	for _, p := range points {
+		c.Text(x(float64(p.Servers)), chartTop+height+14, fmt.Sprint(p.Servers), "text-anchor:middle;font-size:10px;fill:#555")
+	}
+	for i, s := range all {
+		var xs, ys []int
+		for _, p := range points {
+			xs, ys = append(xs, x(float64(p.Servers))), append(ys, y(s.value(p)))
+			c.Circle(xs[len(xs)-1], ys[len(ys)-1], 3, "fill:"+s.color)
+		}
+		c.Polyline(xs, ys, "fill:none;stroke-width:1.5;stroke:"+s.color)
+		c.Text(chartLeft, chartHeight+14+18*i, s.name, "font-size:11px;fill:"+s.color)
+	}
+	c.End()
+	return template.HTML(b.String())
+}
+
+// charts are the curves of a report.
+func charts(points []Point) []template.HTML {
+	const blue, red, green = "#246", "#c33", "#283"
+	return []template.HTML{
+		chart("time until a change is in force", "ms", points, series{"median", blue, func(p Point) float64 { return p.InForceP50 }},
+			series{"99th in 100", green, func(p Point) float64 { return p.InForceP99 }}, series{"most", red, func(p Point) float64 { return p.InForceMax }}),
+		chart("the copy that leads: processor time", "core", points, series{"configuration", blue, func(p Point) float64 { return p.LeaderConfigCPU }},
+			series{"sessions", red, func(p Point) float64 { return p.LeaderSessionCPU }}),
+		chart("the copy that leads: bytes a second for configuration", "B/s", points, series{"configuration", blue, func(p Point) float64 { return p.LeaderConfigBytes }}),
+		chart("the copy that leads: bytes a second for sessions", "B/s", points, series{"sessions", red, func(p Point) float64 { return p.LeaderSessionBytes }}),
+		chart("the busiest relay: processor time", "core", points, series{"relay", blue, func(p Point) float64 { return p.RelayCPU }}),
+		chart("one server: processor time", "core", points, series{"with sessions", red, func(p Point) float64 { return p.ServerCPU }},
+			series{"configuration alone", blue, func(p Point) float64 { return p.ServerConfigCPU }}),
+		chart("one server: bytes a second", "B/s", points, series{"with sessions", red, func(p Point) float64 { return p.ServerBytes }},
+			series{"configuration alone", blue, func(p Point) float64 { return p.ServerConfig }}),
+		chart("memory of a process", "MB", points, series{"order server, the most", blue, func(p Point) float64 { return float64(p.ServerMemory) / (1 << 20) }},
+			series{"relay, the most", green, func(p Point) float64 { return float64(p.RelayMemory) / (1 << 20) }},
+			series{"copy of the store, the most", red, func(p Point) float64 { return float64(p.LeaderMemory) / (1 << 20) }}),
+	}
+}
+
+var reportPage = template.Must(template.New("scale").Parse(`<!doctype html>
+<html lang="en"><head><meta charset="utf-8"><title>puffinsaddle scale run</title>
+<style>body{font-family:sans-serif;margin:24px;max-width:1140px}table{border-collapse:collapse;font-size:13px}td,th{border:1px solid #ccc;padding:2px 8px;text-align:left}.bad{color:#b00}svg{margin:8px}</style></head><body>
+<h1>puffinsaddle scale run</h1>
+<p>seed {{.Setup.Seed}}, {{.Setup.For}} a phase, {{.Setup.Zones}} zones in {{.Setup.Regions}} regions, {{.Setup.Routes}} routes, {{.Setup.Tenants}} tenants{{if .Setup.Plant}}, planted: {{.Setup.Plant}}{{end}}</p>
+<p>{{.Result.Violations}} invariants broken</p>{{range .Violations}}<p class="bad">{{.}}</p>{{end}}
+{{range .Charts}}{{.}}{{end}}
+<h2>Points</h2><table>{{range .Result.Points}}<tr><td>{{printf "%+v" .}}</td></tr>{{end}}</table>
+<h2>Faults</h2><table><tr><th>size</th><th>kind</th><th>hit</th><th>ms</th></tr>{{range .Faults}}<tr><td>{{.Size}}</td><td>{{.Kind}}</td><td>{{.Hit}}</td><td>{{printf "%.0f" .Ms}}</td></tr>{{end}}</table>
+{{range .Notes}}<p>{{.}}</p>{{end}}
+</body></html>`))
+
+type faultRow struct {
+	Size      int
+	Kind, Hit string
+	Ms        float64
+}
+
+const maxShown = 50 // violations on the page
+
+// writeReport writes the page.
+func writeReport(path string, s Setup, r Result, o *outcome, found *findings) error {
+	f, err := os.Create(path)
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	var rows []faultRow
+	for _, m := range o.made {
+		rows = append(rows, faultRow{r.Points[m.Point].Servers, m.Kind, m.Hit, m.To - m.From})
+	}
+	return reportPage.Execute(f, map[string]any{"Setup": s, "Result": r, "Violations": found.violations[:min(len(found.violations), maxShown)],
+		"Charts": charts(r.Points), "Faults": rows, "Notes": o.notes})
+}
--- /dev/null
+++ b/internal/lab/scale/run.go
@@ -0,0 +1,316 @@
+package scale
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"puffinsaddle/internal/clock"
+	"puffinsaddle/internal/distribution"
+)
+
+const (
+	readyWithin     = 60 * time.Second
+	convergeWithin  = 60 * time.Second
+	presentWithin   = 60 * time.Second
+	steadyPerSecond = changesADay / 86400
+	faultPerSecond  = 2.0 // changes while faults are made
+	warmUp          = time.Second
+	publishedDir    = "published"
+	manifestName    = "SUMS"
+	todayBytes      = 64 << 10 // of a file that is published the way it is done without relays
+	todayEvery      = 5 * time.Second
+)
+
+// run is one run.
+type run struct {
+	*fleet
+	steady      *clock.Clock
+	out         io.Writer
+	made        []made
+	notes       []string
+	hollowCount int
+	spans       []span
+}
+
+// span is the time of one size on the machine's clock.
+type span struct{ from, to float64 }
+
+// outcome is what a run left behind.
+type outcome struct {
+	setup   Setup
+	points  []Point
+	spans   []span
+	made    []made
+	notes   []string
+	crash   []string
+	zoneOf  map[string]string // of relays and real servers
+	bursts  []span
+	problem []string // what did not converge
+}
+
+func (r *run) note(format string, a ...any) { r.notes = append(r.notes, fmt.Sprintf(format, a...)) }
+
+func (r *run) say(format string, a ...any) { fmt.Fprintf(r.out, format+"\n", a...) }
+
+// play makes the run. An error is one of the laboratory; what the processes did wrong is in the outcome.
+func play(ctx context.Context, s Setup, out io.Writer) (*outcome, error) {
+	f, err := newFleet(s)
+	if err != nil {
+		return nil, err
+	}
+	defer f.close()
+	r := &run{fleet: f, steady: clock.Steady(), out: out}
+	o := &outcome{setup: s, zoneOf: map[string]string{}}
+	for _, p := range append(append([]*process(nil), f.relays...), f.servers...) {
+		o.zoneOf[p.name] = p.zone
+	}
+	w, err := r.begin(ctx)
+	if err != nil {
+		return nil, err
+	}
+	for i, n := range s.Servers {
+		p, err := r.point(ctx, o, i, n, w)
+		if ctx.Err() != nil {
+			return nil, fmt.Errorf("scale: ended before its time: %w", ctx.Err())
+		}
+		if err != nil {
+			return nil, err
+		}
+		o.points = append(o.points, p)
+	}
+	r.fleet.stop()
+	o.spans, o.made, o.notes, o.crash = r.spans, r.made, r.notes, r.crashes()
+	return o, nil
+}
+
+// begin starts the copies, fills the store, and starts relays and real servers.
+func (r *run) begin(ctx context.Context) (*writer, error) {
+	if r.Today {
+		if err := r.publish(0); err != nil {
+			return nil, err
+		}
+	}
+	if err := r.startAll(r.copies); err != nil {
+		return nil, err
+	}
+	if err := waitFor(readyWithin, "no copy leads", func() (bool, string) { return ctx.Err() != nil || r.leader() != nil, "" }); err != nil {
+		return nil, err
+	}
+	w := newWriter(ctx, r.fleet)
+	begun := time.Now()
+	if err := w.load(ctx); err != nil {
+		return nil, err
+	}
+	revision, _ := w.agreed()
+	r.say("%d records in %d changes in %.1f s", r.Routes+r.Tenants, revision, time.Since(begun).Seconds())
+	begun = time.Now()
+	if err := r.startAll(append(append([]*process(nil), r.relays...), r.servers...)); err != nil {
+		return nil, err
+	}
+	if err := r.converge(ctx, w); err != nil {
+		return nil, err
+	}
+	r.say("%d relays and %d servers have them from snapshots in %.1f s", len(r.relays), len(r.servers), time.Since(begun).Seconds())
+	return w, nil
+}
+
+// position is where the real servers and the relays are: at the latest revision, all with the same records.
+func (r *run) position(ctx context.Context, w *writer) (p distribution.Position, err error) {
+	if err := r.converge(ctx, w); err != nil {
+		return p, err
+	}
+	var v serverFigures
+	if err := readFigures(r.servers[0].figures, &v); err != nil {
+		return p, err
+	}
+	p.Revision = v.Records.Revision
+	return p, p.Digest.UnmarshalText([]byte(v.Records.Digest))
+}
+
+// converge waits until all that run have the latest revision.
+func (r *run) converge(ctx context.Context, w *writer) error {
+	return waitFor(convergeWithin, "not all have the latest revision", func() (bool, string) {
+		if ctx.Err() != nil {
+			return true, ""
+		}
+		latest, _ := w.agreed()
+		for _, p := range r.servers {
+			var v serverFigures
+			if err := readFigures(p.figures, &v); err != nil || v.Records == nil || v.Records.Revision < latest {
+				return false, fmt.Sprintf("%s is behind %d (%v)", p.name, latest, err)
+			}
+		}
+		for _, p := range r.relays {
+			var v struct {
+				Serving struct {
+					Revision uint64 `json:"revision"`
+				} `json:"serving"`
+			}
+			if err := readFigures(p.figures, &v); err != nil || v.Serving.Revision < latest {
+				return false, fmt.Sprintf("%s is behind %d (%v)", p.name, latest, err)
+			}
+		}
+		for _, h := range r.hollows {
+			if a, err := h.order(hollowOrder{Kind: orderFigures}); err != nil || a.Lowest < latest {
+				return false, fmt.Sprintf("%s is at %d of %d (%v)", h.name, a.Lowest, latest, err)
+			}
+		}
+		return true, ""
+	})
+}
+
+// point plays one size: without sessions, with them, and with faults.
+func (r *run) point(ctx context.Context, o *outcome, i, servers int, w *writer) (p Point, err error) {
+	at, err := r.position(ctx, w)
+	if err != nil {
+		return p, err
+	}
+	_, before := w.agreed()
+	r.hollowCount = servers - r.Real
+	if err := r.layHollows(i, r.hollowCount, at); err != nil {
+		return p, err
+	}
+	s := span{from: r.steady.Now()}
+	if err := r.startAll(r.hollows); err != nil {
+		return p, err
+	}
+	p = Point{Servers: servers, Hollow: r.hollowCount, Processes: len(r.copies) + len(r.relays) + len(r.servers) + len(r.hollows)}
+	if err := r.converge(ctx, w); err != nil {
+		return p, err
+	}
+	config := r.measured(ctx, o, w)
+	if err := r.orderAll(hollowOrder{Kind: orderSessions}); err != nil {
+		return p, err
+	}
+	if err := r.present(ctx); err != nil {
+		return p, err
+	}
+	both := r.measured(ctx, o, w)
+	r.fill(&p, config, both)
+	if r.Today {
+		if err := r.today(ctx, &p); err != nil {
+			return p, err
+		}
+	}
+	r.faults(ctx, i, w)
+	if err := r.converge(ctx, w); err != nil && ctx.Err() == nil {
+		o.problem = append(o.problem, err.Error())
+	}
+	r.memory(&p)
+	if i < len(r.Servers)-1 {
+		endAll(r.hollows, syscall.SIGTERM)
+	}
+	s.to = r.steady.Now()
+	r.spans = append(r.spans, s)
+	_, after := w.agreed()
+	p.Changes = after - before
+	r.say("%d servers: %d changes, leader %.4f of a core and %.0f bytes a second for configuration, %.4f and %.0f for sessions", servers, p.Changes,
+		p.LeaderConfigCPU, p.LeaderConfigBytes, p.LeaderSessionCPU, p.LeaderSessionBytes)
+	return p, ctx.Err()
+}
+
+// measured runs one phase of changes, with a burst in its middle.
+func (r *run) measured(ctx context.Context, o *outcome, w *writer) rates {
+	pause(ctx, warmUp)
+	first := r.take()
+	during, stop := context.WithTimeout(ctx, r.For)
+	defer stop()
+	var wait sync.WaitGroup
+	wait.Go(func() {
+		pause(during, r.For/2)
+		b := span{from: r.steady.Now()}
+		w.burst(ctx, burstChanges)
+		b.to = r.steady.Now()
+		o.bursts = append(o.bursts, b)
+	})
+	w.steady(during, steadyPerSecond, keysAChange)
+	wait.Wait()
+	return between(first, r.take())
+}
+
+func (r *run) fill(p *Point, config, both rates) {
+	p.LeaderConfigBytes, p.LeaderConfigCPU = config.configBytes, config.leaderCPU
+	p.LeaderSessionBytes, p.LeaderSessionCPU = both.sessionBytes, max(both.leaderCPU-config.leaderCPU, 0)
+	p.RelayBytes, p.RelayCPU = max(config.relayBytes, both.relayBytes), max(config.relayCPU, both.relayCPU)
+	n := float64(r.hollowCount)
+	p.ServerBytes, p.ServerCPU = both.hollowBytes/n, both.hollowCPU/n
+	p.ServerConfig, p.ServerConfigCPU = config.hollowBytes/n, config.hollowCPU/n
+}
+
+func (r *run) memory(p *Point) {
+	most := func(all []*process) (most int64) {
+		for _, q := range all {
+			if n, err := residentMemory(q.pid()); err == nil {
+				most = max(most, n)
+			}
+		}
+		return most
+	}
+	p.ServerMemory, p.RelayMemory, p.LeaderMemory = most(r.servers), most(r.relays), most(r.copies)
+}
+
+// present waits until every hollow server's session has a presence in force.
+func (r *run) present(ctx context.Context) error {
+	return waitFor(presentWithin, "not all servers are present", func() (bool, string) {
+		n := 0
+		for _, h := range r.hollows {
+			if a, err := h.order(hollowOrder{Kind: orderFigures}); err == nil {
+				n += a.Present
+			}
+		}
+		return ctx.Err() != nil || n == r.hollowCount, fmt.Sprintf("%d of %d", n, r.hollowCount)
+	})
+}
+
+// faults makes the faults of one size, with changes going on.
+func (r *run) faults(ctx context.Context, point int, w *writer) {
+	during, stop := context.WithTimeout(ctx, r.For)
+	defer stop()
+	var wait sync.WaitGroup
+	wait.Go(func() { w.steady(during, faultPerSecond, keysAChange) })
+	r.inject(ctx, point, w)
+	wait.Wait()
+}
+
+// today measures what a file costs that is published whole, to each server by the copy that leads.
+func (r *run) today(ctx context.Context, p *Point) error {
+	pause(ctx, warmUp)
+	first := r.take()
+	for i := 0; time.Since(first.at) < r.For && ctx.Err() == nil; i++ {
+		if err := r.publish(int(first.at.UnixNano()) + i); err != nil {
+			return err
+		}
+		pause(ctx, todayEvery)
+	}
+	rate := between(first, r.take())
+	p.TodayBytes, p.TodayCPU, p.TodayEntries = rate.sessionBytes, rate.leaderCPU, rate.flights
+	return nil
+}
+
+// publish writes another version of a file, with its manifest.
+func (r *run) publish(version int) error {
+	dir := filepath.Join(r.Out, publishedDir)
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		return err
+	}
+	var b strings.Builder
+	b.WriteString("name,address,port,groups\n")
+	for i := 0; b.Len() < todayBytes; i++ {
+		fmt.Fprintf(&b, "host-%d-%05d,127.0.0.1,%d,runners\n", version, i, 1024+i%60000)
+	}
+	const name = "inventory.csv"
+	sum := sha256.Sum256([]byte(b.String()))
+	if err := os.WriteFile(filepath.Join(dir, name), []byte(b.String()), 0o644); err != nil {
+		return err
+	}
+	return os.WriteFile(filepath.Join(dir, manifestName), []byte(hex.EncodeToString(sum[:])+"  "+name+"\n"), 0o644)
+}
--- /dev/null
+++ b/internal/lab/scale/scale_test.go
@@ -0,0 +1,169 @@
+package scale
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+
+	"puffinsaddle/internal/distribution"
+	"puffinsaddle/internal/trace"
+)
+
+func TestOneSeedGivesOneSchedule(t *testing.T) {
+	a, b := schedule(7), schedule(7)
+	if !reflect.DeepEqual(a, b) || len(a) != len(faultKinds) {
+		t.Errorf("%d and %d faults", len(a), len(b))
+	}
+	if reflect.DeepEqual(a, schedule(8)) {
+		t.Error("another seed gives the same")
+	}
+	for i, f := range a {
+		if f.At < 0 || f.At+f.For > 1 || i > 0 && f.At < a[i-1].At+a[i-1].For {
+			t.Errorf("%+v", f)
+		}
+	}
+}
+
+// Wrong use is refused with the reason, before anything starts.
+func TestWrongUseIsRefused(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "file")
+	if err := os.WriteFile(file, nil, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	for reason, change := range map[string]func(c *Cmd){
+		"does not rise":                func(c *Cmd) { c.Servers = []int{300, 300} },
+		"at most":                      func(c *Cmd) { c.Servers = []int{300, 30000} },
+		"are fewer than":               func(c *Cmd) { c.Servers = []int{0} },
+		"names no size":                func(c *Cmd) { c.Servers = nil },
+		"no plant":                     func(c *Cmd) { c.Plant = "weeds" },
+		"--for must":                   func(c *Cmd) { c.For = 0 },
+		"--regions must":               func(c *Cmd) { c.Regions = 30 },
+		"--real must":                  func(c *Cmd) { c.Real = 0 },
+		"--routes and --tenants":       func(c *Cmd) { c.Tenants = 0 },
+		"processes would be started":   func(c *Cmd) { c.Zones = 200 },
+		"half of the machine's memory": func(c *Cmd) { c.Tenants, c.Real = 2000000, 100 },
+		"--out:":                       func(c *Cmd) { c.Out = filepath.Join(file, "below") },
+	} {
+		c := Cmd{Servers: []int{300, 1000}, For: time.Second, Out: filepath.Join(t.TempDir(), "out"), Zones: 23, Regions: 6, Real: 6, Routes: 1000, Tenants: 1000}
+		change(&c)
+		if err := c.Run(&bytes.Buffer{}); err == nil || !strings.Contains(err.Error(), reason) {
+			t.Errorf("%s: %v", reason, err)
+		}
+	}
+}
+
+// story is what one server wrote down, over three revisions that were agreed on.
+func story(t *testing.T, events ...trace.Event) []string {
+	t.Helper()
+	out := t.TempDir()
+	write := func(name string, all []trace.Event) {
+		var b []byte
+		for _, e := range all {
+			text, err := json.Marshal(e)
+			if err != nil {
+				t.Fatal(err)
+			}
+			b = append(append(b, text...), '\n')
+		}
+		if err := os.MkdirAll(filepath.Join(out, "traces"), 0o755); err != nil {
+			t.Fatal(err)
+		}
+		if err := os.WriteFile(filepath.Join(out, "traces", name), b, 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	write("c1.1.trace", []trace.Event{{At: 10, What: trace.Agreed, N: 1, Text: "d1"}, {At: 20, What: trace.Agreed, N: 2, Text: "d2"}, {At: 30, What: trace.Agreed, N: 3, Text: "d3"}})
+	for i := range events {
+		events[i].Who = "z01-h1"
+	}
+	write("hollow-z01.0.trace", events)
+	return check(&outcome{setup: Setup{Out: out}, points: make([]Point, 1), spans: []span{{0, 100}}}).violations
+}
+
+// The checker finds each way in which a server may go wrong, and nothing in one that did not.
+func TestCheckerFindsWhatIsWrong(t *testing.T) {
+	force := func(at float64, from, to uint64, digest string) trace.Event {
+		return trace.Event{At: at, What: trace.InForce, Index: from, N: to, Text: digest}
+	}
+	install := func(at float64, n uint64, digest string) trace.Event {
+		return trace.Event{At: at, What: trace.Installed, N: n, Text: digest}
+	}
+	if v := story(t, install(5, 0, ""), force(12, 1, 1, "d1"), force(31, 2, 3, "d3"), trace.Event{At: 32, What: trace.Reported, N: 3}); len(v) > 0 {
+		t.Errorf("nothing is wrong: %v", v)
+	}
+	for want, events := range map[string][]trace.Event{
+		"skipped":                 {force(12, 1, 1, "d1"), force(31, 3, 3, "d3")},
+		"doubled or out of order": {force(12, 1, 1, "d1"), force(21, 1, 2, "d2"), force(31, 3, 3, "d3")},
+		"never agreed on":         {force(12, 1, 1, "d1"), force(31, 2, 3, "d3"), force(41, 4, 4, "d4")},
+		"and agreed on was":       {force(12, 1, 1, "d1"), force(31, 2, 3, "dx")},
+		"before it was agreed on": {force(12, 1, 1, "d1"), force(25, 2, 3, "d3")},
+		"reported revision":       {force(12, 1, 1, "d1"), {At: 25, What: trace.Reported, N: 3}, force(31, 2, 3, "d3")},
+		"took a snapshot as of":   {install(31, 3, "d2")},
+		"ended at revision":       {force(12, 1, 1, "d1")},
+	} {
+		found := story(t, events...)
+		if len(found) == 0 || !strings.Contains(strings.Join(found, "\n"), want) {
+			t.Errorf("%s: %v", want, found)
+		}
+	}
+}
+
+// build builds the program for runs of the laboratory.
+func build(t *testing.T) string {
+	t.Helper()
+	binary := filepath.Join(t.TempDir(), "puffinsaddle")
+	if out, err := exec.Command("go", "build", "-o", binary, "../../../cmd/puffinsaddle").CombinedOutput(); err != nil {
+		t.Fatalf("%v\n%s", err, out)
+	}
+	return binary
+}
+
+// played is a small run's status and result.
+func played(t *testing.T, binary string, args ...string) (status int, r Result, text string) {
+	t.Helper()
+	small := []string{"lab", "scale", "--servers", "20", "--zones", "4", "--regions", "2", "--real", "2", "--routes", "300", "--tenants", "900", "--for", "4s", "--out", t.TempDir()}
+	cmd := exec.Command(binary, append(small, args...)...)
+	out, err := cmd.CombinedOutput()
+	var exit *exec.ExitError
+	if err != nil && !errors.As(err, &exit) {
+		t.Fatal(err)
+	}
+	lines := strings.Split(strings.TrimSpace(string(out)), "\n")
+	json.Unmarshal([]byte(lines[len(lines)-1]), &r)
+	return cmd.ProcessState.ExitCode(), r, string(out)
+}
+
+// A small run with every kind of fault breaks nothing, and each planted bug is found.
+func TestSmallRunAndPlants(t *testing.T) {
+	binary := build(t)
+	t.Run("none", func(t *testing.T) {
+		t.Parallel()
+		status, r, text := played(t, binary)
+		if status != 0 || r.Violations != 0 || len(r.Points) != 1 {
+			t.Fatalf("status %d:\n%s", status, text)
+		}
+		if p := r.Points[0]; p.Faults != len(faultKinds) || p.Changes < 100 || p.InForceP50 <= 0 || p.LeaderConfigBytes <= 0 || p.ServerMemory <= 0 {
+			t.Errorf("%+v", p)
+		}
+	})
+	for plant, sign := range map[string]string{
+		distribution.PlantLostChange:       "skipped",
+		distribution.PlantEarlyReport:      "reported revision",
+		distribution.PlantSnapshotRevision: "took a snapshot",
+	} {
+		t.Run(plant, func(t *testing.T) {
+			t.Parallel()
+			status, r, text := played(t, binary, "--plant", plant)
+			if status != 1 || r.Violations == 0 || !strings.Contains(text, sign) {
+				t.Errorf("status %d:\n%s", status, text)
+			}
+		})
+	}
+}
--- a/internal/net/session/client.go
+++ b/internal/net/session/client.go
@@ -45,6 +45,9 @@
 	Log    zerolog.Logger
 	Plant  string // a planted bug, for the laboratory; "": none
 
+	// Dial opens connections; nil: over TCP.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
+
 	// On is called for each event, in order, on a goroutine of its own: an action of duty.Machine, Allotted or Published.
 	On func(any)
 	// Need tells what the server could use beyond its part for being alone, in thousandths of a call in hand; nil: nothing.
@@ -94,6 +97,10 @@
 func NewClient(o Options) *Client {
 	m := duty.NewMachine(o.Rules, o.Me, o.Seed)
 	m.Plant = o.Plant
+	if o.Dial == nil {
+		d := net.Dialer{Timeout: dialFor}
+		o.Dial = func(ctx context.Context, address string) (net.Conn, error) { return d.DialContext(ctx, "tcp", address) }
+	}
 	c := &Client{o: o, on: mailbox.New[any](), m: m, waits: map[uint64]chan toServer{}, order: slices.Sorted(maps.Keys(o.Copies))}
 	if n := len(c.order); n > 0 {
 		c.next = int(o.Seed % uint64(n))
@@ -108,10 +115,9 @@
 	c.turn()
 	c.mu.Unlock()
 	rng := rand.New(rand.NewPCG(c.o.Seed, 2))
-	d := net.Dialer{Timeout: dialFor}
 	for ctx.Err() == nil {
 		if at := c.seek(); at != "" {
-			conn, err := d.DialContext(ctx, "tcp", at)
+			conn, err := c.o.Dial(ctx, at)
 			if err == nil {
 				err = c.hold(ctx, conn)
 			}
--- a/internal/net/session/desk.go
+++ b/internal/net/session/desk.go
@@ -18,6 +18,8 @@
 	"puffinsaddle/internal/clock"
 	"puffinsaddle/internal/duty"
 	"puffinsaddle/internal/mailbox"
+	"puffinsaddle/internal/net/meter"
+	"puffinsaddle/internal/records"
 	"puffinsaddle/internal/state"
 )
 
@@ -40,6 +42,8 @@
 // Desk serves sessions at a copy. One goroutine, Run, owns the grantor; it waits for no socket and no disk.
 type Desk struct {
 	Led func(term uint64) // called when this copy begins to grant in a term; nil: nobody asks
+	// CheckChange refuses a change of records whose values make no sense, before it is written to the log; nil: none is.
+	CheckChange func(c records.Change) error
 
 	copy  Copy
 	clk   *clock.Clock // steady
@@ -50,6 +54,7 @@
 	open  atomic.Int64
 	leads atomic.Uint64
 	count counts
+	bytes meter.Count
 
 	// The owner's.
 	batch    []any
@@ -78,6 +83,9 @@
 	Cut     uint64 `json:"cut"` // sessions ended for what they sent, or did not
 	Open    int64  `json:"open"`
 	Term    uint64 `json:"term"` // in which this copy leads; 0: it does not
+
+	Sent     uint64 `json:"sent"`     // bytes
+	Received uint64 `json:"received"` // bytes
 }
 
 // caller is one session.
@@ -118,7 +126,8 @@
 func (d *Desk) Figures() DeskFigures {
 	d.count.mu.Lock()
 	defer d.count.mu.Unlock()
-	return DeskFigures{d.count.Beats, d.count.Flights, d.count.Answers, d.count.Cut, d.open.Load(), d.leads.Load()}
+	return DeskFigures{d.count.Beats, d.count.Flights, d.count.Answers, d.count.Cut, d.open.Load(), d.leads.Load(),
+		d.bytes.Out.Load(), d.bytes.In.Load()}
 }
 
 func (d *Desk) add(n *uint64) {
@@ -136,6 +145,7 @@
 		return
 	}
 	defer d.open.Add(-1)
+	conn = meter.New(conn, &d.bytes)
 	c := &caller{line: newLine(conn), slot: make(chan struct{}, mostDoing)}
 	defer close(c.line.done)
 	defer d.inbox.Put(left{c})
@@ -199,7 +209,7 @@
 // never for the grantor.
 func (c *caller) may(cmd state.Command) error {
 	switch cmd.Op {
-	case state.Act, state.Ask, state.Freeze, state.Thaw:
+	case state.Act, state.Ask, state.Freeze, state.Thaw, state.Change:
 		return nil
 	case state.Begin, state.End, state.Word:
 		if who := c.who.Load(); who != nil && *who == cmd.Who {
@@ -215,6 +225,10 @@
 		d.elsewhere(c, no)
 		return
 	}
+	if err := d.checkChange(cmd); err != nil {
+		c.line.send(toServer{No: no, Result: &state.Result{Error: err.Error()}})
+		return
+	}
 	r, err := d.copy.Propose(cmd)()
 	m := toServer{No: no, Result: &r}
 	if err != nil {
@@ -226,6 +240,16 @@
 	c.line.send(m)
 }
 
+func (d *Desk) checkChange(cmd state.Command) error {
+	if cmd.Op != state.Change || cmd.Change == nil || d.CheckChange == nil {
+		return nil
+	}
+	if err := cmd.Change.Check(); err != nil {
+		return err
+	}
+	return d.CheckChange(*cmd.Change)
+}
+
 func (d *Desk) elsewhere(c *caller, no uint64) {
 	id := d.copy.Leader()
 	c.line.send(toServer{No: no, Else: &id})
--- a/internal/state/digest.go
+++ b/internal/state/digest.go
@@ -42,7 +42,13 @@
 	addAll(part, "word", s.Config.Words, add)
 	addAll(part, "mark", s.Marks, add)
 	addAll(part, "stale", s.Stale, add)
+	if s.Records.Revision() > 0 {
+		sum += s.Records.Table().PartDigest(part).Sum64()
+	}
 	if part == 0 {
+		if r := s.Records.Revision(); r > 0 {
+			add("whole", "records", r)
+		}
 		add("whole", "frozen", slices.Sorted(maps.Keys(s.Duties.Frozen)))
 		add("whole", "counts", []any{s.Duties.Last, s.Shares.Pool, s.Shares.Version, s.Effects.Seq})
 		add("whole", "version", s.Config.Latest())
--- /dev/null
+++ b/internal/state/slopes_test.go
@@ -0,0 +1,211 @@
+package state
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+
+	"puffinsaddle/internal/allot"
+	"puffinsaddle/internal/duty"
+	"puffinsaddle/internal/records"
+)
+
+// The sizes of the slopes in docs/CAPACITY.md.
+var (
+	serverSizes = []int{300, 1000, 2000, 4300}
+	recordSizes = []int{30000, 100000, 240000, 477000}
+)
+
+// entry is a command as the log has it.
+func entry(tb testing.TB, c Command) []byte {
+	tb.Helper()
+	b, err := json.Marshal(c)
+	if err != nil {
+		tb.Fatal(err)
+	}
+	return b
+}
+
+// apply carries an entry out as a copy does: it is decoded, then applied.
+func apply(tb testing.TB, s *State, b []byte) Result {
+	tb.Helper()
+	var c Command
+	if err := json.Unmarshal(b, &c); err != nil {
+		tb.Fatal(err)
+	}
+	r := s.Apply(c, 1)
+	if r.Error != "" {
+		tb.Fatal(r.Error)
+	}
+	return r
+}
+
+func process(i int) string { return fmt.Sprintf("os-%04d#%016x", i, i) }
+
+// withServers is a state with so many processes present.
+func withServers(tb testing.TB, n int) *State {
+	s := New()
+	for i := range n {
+		apply(tb, s, entry(tb, Command{Op: Orders, Orders: []duty.Order{{Kind: duty.Grant, Name: duty.PresenceOf(process(i)), Holder: process(i), TTL: 3000, Term: 1}}}))
+	}
+	apply(tb, s, entry(tb, Command{Op: Orders, Orders: []duty.Order{{Kind: duty.Grant, Name: "allotter", Holder: process(0), TTL: 3000, Term: 1}}}))
+	return s
+}
+
+// withRecords is a state with so many records.
+func withRecords(tb testing.TB, n int) *State {
+	s := New()
+	for i := 0; i < n; {
+		var c records.Change
+		for range min(records.MaxChangeKeys, n-i) {
+			c.Puts = append(c.Puts, tenant(i, 0))
+			i++
+		}
+		apply(tb, s, entry(tb, Command{Op: Change, Change: &c}))
+	}
+	return s
+}
+
+func tenant(i, version int) records.Put {
+	return records.Put{Key: records.Key{Kind: records.Tenant, Name: fmt.Sprintf("tenant-%06d", i)}, Value: fmt.Appendf(nil, `{"share":0.0000025,"limit":%d.5}`, version%500)}
+}
+
+// BenchmarkRestarts measures what a process's end and another's beginning cost a copy, by servers.
+func BenchmarkRestarts(b *testing.B) {
+	for _, n := range serverSizes {
+		b.Run(fmt.Sprintf("servers=%d", n), func(b *testing.B) {
+			s := withServers(b, n)
+			i := 0
+			for b.Loop() {
+				i++
+				who := process(1 + i%(n-1))
+				name := duty.PresenceOf(who)
+				apply(b, s, entry(b, Command{Op: Orders, Orders: []duty.Order{{Kind: duty.Lapse, Name: name, Epoch: s.Duties.Leases[name].Epoch, Term: 1}}}))
+				apply(b, s, entry(b, Command{Op: Orders, Orders: []duty.Order{{Kind: duty.Grant, Name: name, Holder: who, TTL: 3000, Term: 1}}}))
+			}
+		})
+	}
+}
+
+// BenchmarkMarks measures an act that touches no share, by servers.
+func BenchmarkMarks(b *testing.B) {
+	for _, n := range serverSizes {
+		b.Run(fmt.Sprintf("servers=%d", n), func(b *testing.B) {
+			s := withServers(b, n)
+			under := duty.Ref{Name: "allotter", Epoch: s.Duties.Leases["allotter"].Epoch}
+			act := entry(b, Command{Op: Act, Fence: &under, Do: []Command{{Op: Mark}}})
+			for b.Loop() {
+				apply(b, s, act)
+			}
+		})
+	}
+}
+
+// BenchmarkShares measures a plan that gives every server another share, in one act, and the fleet as the allotter reads it.
+func BenchmarkShares(b *testing.B) {
+	for _, n := range serverSizes {
+		b.Run(fmt.Sprintf("servers=%d", n), func(b *testing.B) {
+			s := withServers(b, n)
+			under := duty.Ref{Name: "allotter", Epoch: s.Duties.Leases["allotter"].Epoch}
+			apply(b, s, entry(b, Command{Op: Act, Fence: &under, Do: []Command{{Op: Pool, Amount: int64(n) * 1000}}}))
+			fleet, bytes := []allot.Need{}, 0
+			for i := 0; b.Loop(); i++ {
+				var do []Command
+				for j := range n {
+					do = append(do, Command{Op: Share, Who: process(j), Amount: int64(100 + i%2*10)})
+				}
+				act := entry(b, Command{Op: Act, Fence: &under, Do: do})
+				apply(b, s, act)
+				bytes = len(act)
+			}
+			for _, who := range s.Shares.Whos() {
+				fleet = append(fleet, allot.Need{Who: who, Share: *s.Shares.Shares[who]})
+			}
+			text, err := json.Marshal(fleet)
+			if err != nil {
+				b.Fatal(err)
+			}
+			b.ReportMetric(float64(bytes), "entry-bytes")
+			b.ReportMetric(float64(len(text)), "read-bytes")
+		})
+	}
+}
+
+// BenchmarkBookings measures a booking's two entries at a copy, by the effects that are kept.
+func BenchmarkBookings(b *testing.B) {
+	for _, n := range []int{1000, 8000, 30000, 60000} {
+		b.Run(fmt.Sprintf("kept=%d", n), func(b *testing.B) {
+			s := withServers(b, 12)
+			who, next := process(0), 0
+			epoch := s.Duties.Leases[duty.PresenceOf(who)].Epoch
+			book := func() {
+				next++
+				id := fmt.Sprintf("%016x", next)
+				apply(b, s, entry(b, Command{Op: Begin, Key: id, Who: who, Epoch: epoch, Keep: true}))
+				apply(b, s, entry(b, Command{Op: End, Who: who, IDs: []string{id}}))
+			}
+			for range n {
+				book()
+			}
+			for i := 0; b.Loop(); i++ {
+				if i%1000 == 999 {
+					b.StopTimer()
+					s.Effects.Prune(s.Effects.Seq - uint64(n))
+					b.StartTimer()
+				}
+				book()
+			}
+		})
+	}
+}
+
+// BenchmarkChanges measures a change of three records at a copy, by the records that are held.
+func BenchmarkChanges(b *testing.B) {
+	for _, n := range recordSizes {
+		b.Run(fmt.Sprintf("records=%d", n), func(b *testing.B) {
+			s := withRecords(b, n)
+			bytes := 0
+			for i := 0; b.Loop(); i++ {
+				e := entry(b, Command{Op: Change, Change: &records.Change{Puts: []records.Put{tenant(i*3%n, i), tenant((i*3+1)%n, i), tenant((i*3+2)%n, i)}}})
+				apply(b, s, e)
+				bytes = len(e)
+			}
+			b.ReportMetric(float64(bytes), "entry-bytes")
+		})
+	}
+}
+
+// BenchmarkSnapshots measures a copy's snapshot by its records: the pause in which it is frozen, and the writing beside.
+func BenchmarkSnapshots(b *testing.B) {
+	for _, n := range recordSizes {
+		s := withRecords(b, n)
+		b.Run(fmt.Sprintf("freeze/records=%d", n), func(b *testing.B) {
+			for b.Loop() {
+				s.Keep()
+			}
+		})
+		b.Run(fmt.Sprintf("write/records=%d", n), func(b *testing.B) {
+			size := 0
+			for b.Loop() {
+				text, err := json.Marshal(s.Keep())
+				if err != nil {
+					b.Fatal(err)
+				}
+				size = len(text)
+			}
+			b.ReportMetric(float64(size), "bytes")
+		})
+	}
+}
+
+// BenchmarkComparing measures one part of what copies compare, by records.
+func BenchmarkComparing(b *testing.B) {
+	for _, n := range recordSizes {
+		b.Run(fmt.Sprintf("records=%d", n), func(b *testing.B) {
+			s := withRecords(b, n)
+			for i := uint64(0); b.Loop(); i++ {
+				s.Digest(i)
+			}
+		})
+	}
+}
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -13,6 +13,7 @@
 	"puffinsaddle/internal/allot"
 	"puffinsaddle/internal/duty"
 	"puffinsaddle/internal/publish"
+	"puffinsaddle/internal/records"
 	"puffinsaddle/internal/settle"
 )
 
@@ -37,6 +38,8 @@
 	Ack    = "ack"  // a process uses no more than its share
 	Word   = "word" // what a process made of a version
 
+	Change = "change" // of records
+
 	Compare = "compare" // all copies look at a part of what they hold
 
 	// What may be done in an act.
@@ -66,12 +69,14 @@
 	Seq    uint64         `json:"seq,omitempty"`
 	Files  []publish.File `json:"files,omitempty"`
 	Said   *publish.Word  `json:"said,omitempty"`
+
+	Change *records.Change `json:"change,omitempty"`
 }
 
 // Result is what a command came to.
 type Result struct {
 	Fresh bool     `json:"fresh,omitempty"` // Set, Delete, Begin: the key was absent
-	N     uint64   `json:"n,omitempty"`     // Mark: the count; Settle, Prune: how many; Publish: the version; Compare: the digest
+	N     uint64   `json:"n,omitempty"`     // Mark: the count; Settle, Prune: how many; Publish: the version; Change: the revision; Compare: the digest
 	Stale bool     `json:"stale,omitempty"` // refused: the epoch is not the one in force
 	Error string   `json:"error,omitempty"` // refused, and nothing was changed
 	Part  []string `json:"part,omitempty"`  // Orders: "" or the refusal of each
@@ -84,6 +89,7 @@
 	Shares  *allot.Book
 	Effects *settle.Book
 	Config  *publish.Book
+	Records *records.Set
 	Marks   map[string]uint64 // by duty
 	Stale   map[string]uint64 // acts refused for their epoch, by duty
 
@@ -93,7 +99,8 @@
 // New is the empty state.
 func New() *State {
 	return &State{Values: map[string][]byte{}, Duties: duty.NewTable(), Shares: allot.NewBook(),
-		Effects: settle.NewBook(mostEffects), Config: publish.NewBook(), Marks: map[string]uint64{}, Stale: map[string]uint64{}}
+		Effects: settle.NewBook(mostEffects), Config: publish.NewBook(), Records: records.NewSet(records.DefaultLimits),
+		Marks: map[string]uint64{}, Stale: map[string]uint64{}}
 }
 
 // Live tells whether a process's presence of an epoch is in force.
@@ -136,6 +143,12 @@
 			r.Part = append(r.Part, text(s.order(o, term)))
 		}
 		return r
+	case Change:
+		if c.Change == nil {
+			return Result{Error: "state: no change"}
+		}
+		commit, err := s.Records.Apply(*c.Change)
+		return Result{N: commit.Revision, Error: text(err)}
 	case Compare:
 		return Result{N: s.Digest(c.Seq)}
 	case Ask:
@@ -242,6 +255,7 @@
 	Shares  *allot.Book       `json:"shares,omitempty"`
 	Effects *settle.Book      `json:"effects,omitempty"`
 	Config  *publish.Book     `json:"config,omitempty"`
+	Records *records.Frozen   `json:"records,omitempty"`
 	Marks   map[string]uint64 `json:"marks,omitempty"`
 	Stale   map[string]uint64 `json:"stale,omitempty"`
 }
@@ -249,7 +263,7 @@
 // Keep copies the state, so that it can be written while commands go on.
 func (s *State) Keep() *Kept {
 	return &Kept{Values: maps.Clone(s.Values), Duties: s.Duties.Clone(), Shares: s.Shares.Clone(), Effects: s.Effects.Clone(),
-		Config: s.Config.Clone(), Marks: maps.Clone(s.Marks), Stale: maps.Clone(s.Stale)}
+		Config: s.Config.Clone(), Records: s.Records.Freeze(), Marks: maps.Clone(s.Marks), Stale: maps.Clone(s.Stale)}
 }
 
 // Read takes the state of a snapshot, in today's form or an earlier one.
@@ -279,6 +293,9 @@
 			s.Config.Words = map[string]publish.Word{}
 		}
 	}
+	if k.Records != nil {
+		s.Records = k.Records.Thaw(records.DefaultLimits)
+	}
 	if k.Effects != nil {
 		s.Effects = k.Effects
 		s.Effects.Restored(mostEffects)
--- a/internal/store/layer.go
+++ b/internal/store/layer.go
@@ -20,6 +20,8 @@
 
 	// ForSessions opens a session of an order server, which need not keep a copy.
 	ForSessions = 'S'
+	// ForWatches opens a relay's watch of the configuration.
+	ForWatches = 'C'
 )
 
 const helloFor = 2 * time.Second
@@ -35,6 +37,7 @@
 
 	mu       sync.Mutex
 	sessions func(net.Conn) // nil: none are served
+	watches  func(net.Conn) // nil: none are served
 }
 
 func newLayer(ln net.Listener, serve map[byte]func(net.Conn), via map[string]string) *layer {
@@ -106,6 +109,12 @@
 	return l.sessions
 }
 
+func (l *layer) watch() func(net.Conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.watches
+}
+
 func (l *layer) run() {
 	for {
 		conn, err := l.Listener.Accept()
@@ -144,6 +153,11 @@
 			serve(conn)
 			return
 		}
+	case b[0] == ForWatches:
+		if serve := l.watch(); serve != nil {
+			serve(conn)
+			return
+		}
 	case serve != nil:
 		serve(conn)
 		return
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -476,6 +476,13 @@
 	s.layer.sessions = serve
 }
 
+// ServeWatches hands connections of relays to serve, which closes them.
+func (s *Store) ServeWatches(serve func(net.Conn)) {
+	s.layer.mu.Lock()
+	defer s.layer.mu.Unlock()
+	s.layer.watches = serve
+}
+
 // serveWrite takes one write from another node.
 func (s *Store) serveWrite(conn net.Conn) {
 	defer conn.Close()
--- a/internal/trace/trace.go
+++ b/internal/trace/trace.go
@@ -48,6 +48,12 @@
 	Begun   = "begun"   // an effect was recorded
 	Took    = "took"    // a published version was taken whole; Cause: turned down
 	Exec    = "exec"    // a stand-in ran something
+
+	// Of records; N is a revision and Text the digest of all records there.
+	Agreed    = "agreed"    // a copy of the store has commit N
+	InForce   = "in-force"  // commits Index to N came into force
+	Installed = "installed" // all records were taken as of N, from a snapshot or the disk
+	Reported  = "reported"  // N was reported to be in force
 )
 
 // Log writes events. A nil Log writes none.
