--- a/cmd/puffinsaddle/crowd_test.go
+++ b/cmd/puffinsaddle/crowd_test.go
@@ -56,15 +56,23 @@
 	return l.b.String()
 }
 
+// handedOut are the addresses that were picked: the system may give one that is free again a second time.
+var handedOut sync.Map
+
 func freePort(t testing.TB) string {
 	t.Helper()
-	// Connections are made from 127.0.0.1, and so take no port of another address meanwhile.
-	ln, err := net.Listen("tcp", fmt.Sprintf("127.77.%d.1:0", os.Getpid()%250+1))
-	if err != nil {
-		t.Fatal(err)
+	for {
+		// Connections are made from 127.0.0.1, and so take no port of another address meanwhile.
+		ln, err := net.Listen("tcp", fmt.Sprintf("127.77.%d.1:0", os.Getpid()%250+1))
+		if err != nil {
+			t.Fatal(err)
+		}
+		address := ln.Addr().String()
+		ln.Close()
+		if _, again := handedOut.LoadOrStore(address, true); !again {
+			return address
+		}
 	}
-	defer ln.Close()
-	return ln.Addr().String()
 }
 
 func newChild(t testing.TB) *child {
--- a/cmd/puffinsaddle/duties.go
+++ b/cmd/puffinsaddle/duties.go
@@ -44,18 +44,18 @@
 
 // duties is what this process holds, or would hold, with others. A nil one is off, and its methods then do nothing.
 type duties struct {
-	cfg    *config.Config
-	me     string
-	clk    *clock.Clock
-	steady *clock.Clock
-	log    zerolog.Logger
-	trace  *trace.Log
-	client *session.Client
-	keeper *work.Keeper
-	desk   *session.Desk
-	copy   *store.Store
-	origin *relay.Origin
-	core   atomic.Pointer[core.Core]
+	cfg      *config.Config
+	me       string
+	clk      *clock.Clock
+	steady   *clock.Clock
+	log      zerolog.Logger
+	trace    *trace.Log
+	client   *session.Client
+	keeper   *work.Keeper
+	sessions *session.Server
+	copy     *store.Store
+	origin   *relay.Origin
+	core     atomic.Pointer[core.Core]
 
 	mu        sync.Mutex
 	risen     bool
@@ -66,15 +66,15 @@
 
 // holding is what operators see of it.
 type holding struct {
-	Me      string               `json:"me"`
-	Linked  bool                 `json:"linked"`  // a session stands
-	Present bool                 `json:"present"` // the copies know that this process is there
-	Held    map[string]uint64    `json:"held"`    // duties held, and under which epoch
-	Fenced  uint64               `json:"fenced"`  // commands of this process refused for their epoch
-	Share   float64              `json:"share"`   // calls in hand that may be below beyond the part for being alone
-	Used    float64              `json:"used"`    // calls in hand below of late
-	Version uint64               `json:"version"` // published, in force
-	Desk    *session.DeskFigures `json:"desk,omitempty"`
+	Me       string                 `json:"me"`
+	Linked   bool                   `json:"linked"`  // a session stands
+	Present  bool                   `json:"present"` // the copies know that this process is there
+	Held     map[string]uint64      `json:"held"`    // duties held, and under which epoch
+	Fenced   uint64                 `json:"fenced"`  // commands of this process refused for their epoch
+	Share    float64                `json:"share"`   // calls in hand that may be below beyond the part for being alone
+	Used     float64                `json:"used"`    // calls in hand below of late
+	Version  uint64                 `json:"version"` // published, in force
+	Sessions *session.ServerFigures `json:"desk,omitempty"`
 
 	Origin *configwatch.Figures `json:"origin,omitempty"` // of a copy: the relays that watch it
 	Relays *distribution.Report `json:"relays,omitempty"` // of the copy that leads: what the relays reported
@@ -120,7 +120,7 @@
 	return h, nil
 }
 
-// keep opens the desk, where this process keeps a copy.
+// keep serves sessions where this process keeps a copy.
 func (h *duties) keep(ctx context.Context, copy *store.Store) {
 	if copy == nil {
 		return
@@ -128,17 +128,17 @@
 	h.copy = copy
 	d := h.cfg.Operator.Duties
 	g := &duty.Grantor{Rules: d.Rules(), Seed: 1, Most: d.Allot.Servers, Plant: h.cfg.Operator.Lab.Plant}
-	h.desk = session.NewDesk(copy, g, d.Sessions, h.steady, h.log)
-	h.desk.CheckChange = func(c records.Change) error { return checkChange(copy, c) }
-	h.desk.Led = func(term uint64) { h.trace.Add(trace.Event{What: trace.Office, Term: term}, 0) }
-	copy.ServeSessions(h.desk.Serve)
+	h.sessions = session.NewServer(copy, g, d.Sessions, h.steady, h.log)
+	h.sessions.CheckChange = func(c records.Change) error { return checkChange(copy, c) }
+	h.sessions.Led = func(term uint64) { h.trace.Add(trace.Event{What: trace.Office, Term: term}, 0) }
+	copy.ServeSessions(h.sessions.Serve)
 	h.origin = relay.NewOrigin(copy, h.steady, h.log, h.cfg.Operator.Lab.Plant)
 	h.origin.Agreed = func(c records.Commit) {
 		h.trace.Add(trace.Event{What: trace.Agreed, N: c.Revision, Text: c.After.String()}, 0)
 	}
 	copy.ServeWatches(h.origin.Serve)
 	go h.origin.Run(ctx)
-	go h.desk.Run(ctx)
+	go h.sessions.Run(ctx)
 }
 
 // serve begins to hold duties for a core.
@@ -295,9 +295,9 @@
 	if c := h.core.Load(); c != nil {
 		f.Used = c.Below()
 	}
-	if h.desk != nil {
-		v := h.desk.Figures()
-		f.Desk = &v
+	if h.sessions != nil {
+		v := h.sessions.Figures()
+		f.Sessions = &v
 	}
 	if h.origin != nil {
 		v, sum := h.origin.Figures(), h.origin.Report()
--- a/internal/allot/allot.go
+++ b/internal/allot/allot.go
@@ -50,8 +50,8 @@
 	Version uint64 `json:"version"` // of Want
 }
 
-// Book is what all copies agree on about shares. Its methods are steps of the log.
-type Book struct {
+// Ledger is what all copies agree on about shares. Its methods are steps of the log.
+type Ledger struct {
 	Pool    int64             `json:"pool"`
 	Version uint64            `json:"version"`
 	Shares  map[string]*Share `json:"shares"`
@@ -60,12 +60,12 @@
 	sum    int64 // of all Caps
 }
 
-// NewBook is an empty book.
-func NewBook() *Book { return &Book{Shares: map[string]*Share{}} }
+// NewLedger is an empty book.
+func NewLedger() *Ledger { return &Ledger{Shares: map[string]*Share{}} }
 
 // Clone copies a book.
-func (b *Book) Clone() *Book {
-	c := &Book{Pool: b.Pool, Version: b.Version, Shares: make(map[string]*Share, len(b.Shares))}
+func (b *Ledger) Clone() *Ledger {
+	c := &Ledger{Pool: b.Pool, Version: b.Version, Shares: make(map[string]*Share, len(b.Shares))}
 	for who, s := range b.Shares {
 		v := *s
 		c.Shares[who] = &v
@@ -74,7 +74,7 @@
 }
 
 // Sum is the most that can be in force now.
-func (b *Book) Sum() int64 {
+func (b *Ledger) Sum() int64 {
 	if b.summed {
 		return b.sum
 	}
@@ -86,13 +86,13 @@
 }
 
 // setCap changes the most that one process may have in force.
-func (b *Book) setCap(s *Share, most int64) {
+func (b *Ledger) setCap(s *Share, most int64) {
 	b.sum = b.Sum() + most - s.Cap
 	s.Cap = most
 }
 
 // SetPool changes what there is to divide; less only once that much is free.
-func (b *Book) SetPool(pool int64) error {
+func (b *Ledger) SetPool(pool int64) error {
 	if pool < b.Sum() {
 		return fmt.Errorf("%w: a pool of %d with %d in force", ErrOver, pool, b.Sum())
 	}
@@ -101,7 +101,7 @@
 }
 
 // Join opens a process's entry, with nothing in force.
-func (b *Book) Join(who string) {
+func (b *Ledger) Join(who string) {
 	if b.Shares[who] == nil {
 		b.Version++
 		b.Shares[who] = &Share{Version: b.Version}
@@ -109,7 +109,7 @@
 }
 
 // Drop closes an entry: the process's presence has ended, and with it its share.
-func (b *Book) Drop(who string) {
+func (b *Ledger) Drop(who string) {
 	if s := b.Shares[who]; s != nil {
 		b.setCap(s, 0)
 		delete(b.Shares, who)
@@ -118,7 +118,7 @@
 
 // Set changes what a process shall have. A growth counts at once and needs the room; a cut counts once the process has
 // said that it holds, so until then nobody else can have what it gives up.
-func (b *Book) Set(who string, amount int64, unchecked bool) error {
+func (b *Ledger) Set(who string, amount int64, unchecked bool) error {
 	s := b.Shares[who]
 	switch {
 	case s == nil:
@@ -137,7 +137,7 @@
 }
 
 // Ack books that a process uses no more than it shall by a version.
-func (b *Book) Ack(who string, version uint64) {
+func (b *Ledger) Ack(who string, version uint64) {
 	if s := b.Shares[who]; s != nil && s.Version == version {
 		b.setCap(s, s.Want)
 	}
@@ -256,4 +256,4 @@
 }
 
 // Whos lists the processes with an entry.
-func (b *Book) Whos() []string { return slices.Sorted(maps.Keys(b.Shares)) }
+func (b *Ledger) Whos() []string { return slices.Sorted(maps.Keys(b.Shares)) }
--- a/internal/allot/allot_test.go
+++ b/internal/allot/allot_test.go
@@ -37,7 +37,7 @@
 func TestSharesInForceStayWithinThePool(t *testing.T) {
 	for seed := range uint64(200) {
 		rng := rand.New(rand.NewPCG(seed, 1))
-		b, pool := NewBook(), int64(20000)
+		b, pool := NewLedger(), int64(20000)
 		if err := b.SetPool(pool); err != nil {
 			t.Fatal(err)
 		}
@@ -92,7 +92,7 @@
 // The planted bug breaks what the test above holds: a growth before the cut that makes room for it is in use.
 func TestGrowthBeforeACutIsRefused(t *testing.T) {
 	for _, unchecked := range []bool{false, true} {
-		b := NewBook()
+		b := NewLedger()
 		b.SetPool(100)
 		b.Join("a")
 		b.Join("b")
@@ -116,7 +116,7 @@
 }
 
 func TestPlanSettles(t *testing.T) {
-	b := NewBook()
+	b := NewLedger()
 	b.SetPool(10000)
 	needs := map[string]int64{"a": 500, "b": 9000, "c": 100}
 	for w := range needs {
--- a/internal/duty/duty_test.go
+++ b/internal/duty/duty_test.go
@@ -136,9 +136,9 @@
 		quiet[s] = true
 	}
 	for end := f.now + ms; f.now < end; f.now += 50 {
-		var beats []Beat
+		var beats []Heartbeat
 		for n, m := range f.m {
-			for _, a := range f.do(n, m.Turn(f.now)) {
+			for _, a := range f.do(n, m.Tick(f.now)) {
 				if !quiet[n] {
 					beats = append(beats, a)
 				}
@@ -149,30 +149,30 @@
 			f.last[b.From] = b.No
 			orders = append(orders, f.g.Take(f.now, b, f.table)...)
 		}
-		for _, o := range append(orders, f.g.Turn(f.now, f.table)...) {
+		for _, o := range append(orders, f.g.Tick(f.now, f.table)...) {
 			if err := f.table.Apply(o, 1); err != nil {
 				f.t.Fatal(err)
 			}
 			f.g.Done(f.now, o, f.table)
 			f.index++
 			if n := o.Holder; o.Kind == Grant && !f.deaf[n] && !quiet[n] { // told at once, as of the beat in which it stood
-				f.do(n, f.m[n].Told(f.now, f.g.Answer(n, f.last[n], f.index, f.table)))
+				f.do(n, f.m[n].HandleReply(f.now, f.g.Answer(n, f.last[n], f.index, f.table)))
 			}
 		}
 		f.index++
 		for _, b := range beats {
 			if !f.deaf[b.From] {
-				f.do(b.From, f.m[b.From].Told(f.now, f.g.Answer(b.From, b.No, f.index, f.table)))
+				f.do(b.From, f.m[b.From].HandleReply(f.now, f.g.Answer(b.From, b.No, f.index, f.table)))
 			}
 		}
 	}
 }
 
-func (f *fleet) do(n string, actions []Action) (beats []Beat) {
+func (f *fleet) do(n string, actions []Action) (beats []Heartbeat) {
 	for _, a := range actions {
 		switch a := a.(type) {
 		case Send:
-			beats = append(beats, a.Beat)
+			beats = append(beats, a.Heartbeat)
 		case Gained:
 			f.log = append(f.log, fmt.Sprintf("%s gains %s", n, a.Name))
 		case Yields:
@@ -312,28 +312,28 @@
 // An answer that knows less than this process was told is not believed, and one to a beat long past extends nothing.
 func TestOldAnswersAreNotBelieved(t *testing.T) {
 	m := NewMachine(testRules, "a", 1)
-	beat := m.Turn(0)[0].(Send).Beat
+	beat := m.Tick(0)[0].(Send).Heartbeat
 	holds := []Grantee{{Ref{"allotter", 7}, 2000, false}}
-	m.Told(10, Told{No: beat.No, Index: 50, Holds: holds})
+	m.HandleReply(10, HeartbeatReply{No: beat.No, Index: 50, Holds: holds})
 	if _, ok := m.May(20, "allotter"); !ok {
 		t.Fatal("not held")
 	}
-	out := m.Told(30, Told{No: beat.No, Index: 49})
+	out := m.HandleReply(30, HeartbeatReply{No: beat.No, Index: 49})
 	if _, ok := m.May(40, "allotter"); !ok || len(out) != 1 || out[0] != (Behind{49, 50}) {
 		t.Errorf("an older answer took the duty away: %v", out)
 	}
 	_, until, _ := m.Until("allotter")
 	m.Hurry()
-	m.Turn(1000) // another beat; the answer is to the first one
-	m.Told(1010, Told{No: beat.No, Index: 60, Holds: holds})
+	m.Tick(1000) // another beat; the answer is to the first one
+	m.HandleReply(1010, HeartbeatReply{No: beat.No, Index: 60, Holds: holds})
 	if _, now, _ := m.Until("allotter"); now != until {
 		t.Errorf("an answer to the first beat moved the end from %v to %v", until, now)
 	}
 	if _, ok := m.May(until, "allotter"); ok {
 		t.Error("held at its end")
 	}
-	m.Turn(until)
-	m.Told(until+1, Told{No: 2, Index: 61, Holds: holds})
+	m.Tick(until)
+	m.HandleReply(until+1, HeartbeatReply{No: 2, Index: 61, Holds: holds})
 	if _, ok := m.May(until+2, "allotter"); ok {
 		t.Error("an epoch that was given up is held again")
 	}
--- a/internal/duty/explore_test.go
+++ b/internal/duty/explore_test.go
@@ -27,8 +27,8 @@
 
 type mail struct {
 	to   int // candidate, or -1: the copy
-	beat Beat
-	told Told
+	beat Heartbeat
+	told HeartbeatReply
 }
 
 type world struct {
@@ -113,7 +113,7 @@
 	for _, a := range actions {
 		switch a := a.(type) {
 		case Send:
-			w.post(mail{to: -1, beat: a.Beat})
+			w.post(mail{to: -1, beat: a.Heartbeat})
 		case Yields:
 			w.act(i, w.m[i].Quiet(w.clock(i), a.Ref))
 		}
@@ -165,10 +165,10 @@
 		w.true_ += timeStep
 	case "run": // it may never run: then it stands still, and what it believes goes by its clock alone
 		w.m[n].Hurry()
-		w.act(n, w.m[n].Turn(w.clock(n)))
+		w.act(n, w.m[n].Tick(w.clock(n)))
 	case "turn":
-		w.carry(w.g.Turn(w.clock(2), w.t))
-		w.carry(w.g.Turn(w.clock(2), w.t))
+		w.carry(w.g.Tick(w.clock(2), w.t))
+		w.carry(w.g.Tick(w.clock(2), w.t))
 	case "lead": // another copy leads, with another clock
 		term := w.g.term
 		if w.plant == PlantUnproven { // else it answers nothing that counts
@@ -185,7 +185,7 @@
 	case "deliver", "deliver-old": // a message stays: it may come again
 		m := w.mail[n]
 		if m.to >= 0 {
-			w.act(m.to, w.m[m.to].Told(w.clock(m.to), m.told))
+			w.act(m.to, w.m[m.to].HandleReply(w.clock(m.to), m.told))
 			return
 		}
 		i := slices.Index(who[:], m.beat.From)
--- a/internal/duty/grantor.go
+++ b/internal/duty/grantor.go
@@ -8,9 +8,9 @@
 	"strings"
 )
 
-// Beat is what an order server says in one message: what it renews, gives back and stands for. A beat may come late,
+// Heartbeat is what an order server says in one message: what it renews, gives back and stands for. A beat may come late,
 // twice or never.
-type Beat struct {
+type Heartbeat struct {
 	From   string   `json:"from"` // the process: its name and incarnation
 	No     uint64   `json:"no"`   // counts from 1 in each process
 	Seen   uint64   `json:"seen"` // the highest position of the log that it was told of
@@ -27,9 +27,9 @@
 	Yield bool    `json:"y,omitempty"` // an operator wants it given up
 }
 
-// Told is the answer to a beat. It is sent only once an entry of the log, written after the beat came, was agreed on:
+// HeartbeatReply is the answer to a beat. It is sent only once an entry of the log, written after the beat came, was agreed on:
 // only that proves that no other copy led by then.
-type Told struct {
+type HeartbeatReply struct {
 	No    uint64    `json:"no"`    // the latest beat that is answered
 	Index uint64    `json:"index"` // the position of the log as of which it holds
 	Holds []Grantee `json:"holds,omitempty"`
@@ -102,8 +102,8 @@
 // Term is the term of this copy's office; 0: it never led.
 func (g *Grantor) Term() uint64 { return g.term }
 
-// Take books a beat and returns what it gives back. It answers nothing: Told does, once that is proven.
-func (g *Grantor) Take(now float64, b Beat, t *Table) []Order {
+// Take books a beat and returns what it gives back. It answers nothing: HeartbeatReply does, once that is proven.
+func (g *Grantor) Take(now float64, b Heartbeat, t *Table) []Order {
 	var out []Order
 	for _, r := range b.Gives {
 		if l := t.Leases[r.Name]; l != nil && l.Holder == b.From && l.Epoch == r.Epoch {
@@ -153,8 +153,8 @@
 	}
 }
 
-// Turn finds whose time is up and whom to grant what nobody holds.
-func (g *Grantor) Turn(now float64, t *Table) []Order {
+// Tick finds whose time is up and whom to grant what nobody holds.
+func (g *Grantor) Tick(now float64, t *Table) []Order {
 	return append(g.lapses(now, t), g.grants(now, t)...)
 }
 
@@ -313,8 +313,8 @@
 }
 
 // Answer is what a process is told of its grants as the table has them.
-func (g *Grantor) Answer(from string, no, index uint64, t *Table) Told {
-	told := Told{No: no, Index: index}
+func (g *Grantor) Answer(from string, no, index uint64, t *Table) HeartbeatReply {
+	told := HeartbeatReply{No: no, Index: index}
 	for _, name := range t.HeldBy(from) {
 		l := t.Leases[name]
 		if g.deaf[name] == l.Epoch {
--- a/internal/duty/machine.go
+++ b/internal/duty/machine.go
@@ -32,7 +32,7 @@
 
 type (
 	// Send is a beat for the copy that leads.
-	Send struct{ Beat Beat }
+	Send struct{ Heartbeat Heartbeat }
 	// Gained tells that the process holds a duty until a time of its own clock.
 	Gained struct {
 		Ref
@@ -95,8 +95,8 @@
 		past: map[string]uint64{}, gives: map[string]Ref{}, cool: map[string]float64{}}
 }
 
-// Turn looks at the time: what has run out ends, and a beat that is due goes out.
-func (m *Machine) Turn(now float64) []Action {
+// Tick looks at the time: what has run out ends, and a beat that is due goes out.
+func (m *Machine) Tick(now float64) []Action {
 	out := m.expire(now)
 	if now >= m.beatAt {
 		out = append(out, m.beat(now))
@@ -104,7 +104,7 @@
 	return out
 }
 
-// Next is when Turn has to be called again, at the latest.
+// Next is when Tick has to be called again, at the latest.
 func (m *Machine) Next() float64 {
 	at := m.beatAt
 	for _, h := range m.held {
@@ -113,7 +113,7 @@
 	return at
 }
 
-// Hurry makes the next Turn send a beat: a connection is new, or something changed.
+// Hurry makes the next Tick send a beat: a connection is new, or something changed.
 func (m *Machine) Hurry() { m.beatAt = 0 }
 
 func (m *Machine) expire(now float64) (out []Action) {
@@ -147,7 +147,7 @@
 	m.beatAt = now + m.Renew*(0.7+0.3*m.spread())
 	m.no++
 	m.sent[m.no%keptBeats].no, m.sent[m.no%keptBeats].at = m.no, now
-	b := Beat{From: m.Me, No: m.no, Seen: m.seen, Cold: m.mode == Cold}
+	b := Heartbeat{From: m.Me, No: m.no, Seen: m.seen, Cold: m.mode == Cold}
 	for _, name := range slices.Sorted(maps.Keys(m.held)) {
 		b.Renews = append(b.Renews, m.held[name].ref)
 	}
@@ -167,8 +167,8 @@
 	return Send{b}
 }
 
-// Told takes an answer in.
-func (m *Machine) Told(now float64, t Told) []Action {
+// HeartbeatReply takes an answer in.
+func (m *Machine) HandleReply(now float64, t HeartbeatReply) []Action {
 	out := m.expire(now)
 	if t.Index < m.seen {
 		// Guards against old state taken for new: another copy has told of more already.
--- a/internal/lab/platform.go
+++ b/internal/lab/platform.go
@@ -20,6 +20,7 @@
 	Slots    int // of the vault
 	MemoryMB int
 	Sockets  int
+	Cores    float64 // 0: 1
 }
 
 // Write writes the file.
@@ -35,8 +36,12 @@
 		"rules":   m{"answerSlack": 60000000, "cold": 2000000000, "coldShare": 0.5, "drainGrace": 1000000000, "fall": 3000000000, "fallMultiple": 8.0},
 		"servers": p.Servers, "tick": 4000000,
 	}
+	cores := p.Cores
+	if cores == 0 {
+		cores = 1
+	}
 	file := m{"name": p.Name, "listen": p.Listen, "executor": p.Executor, "vault": p.Vault, "operator": p.Operator,
-		"seed": fmt.Sprintf("%016x", p.Seed), "stop_ms": stopMs, "limits": m{"cores": 1.0, "memory_mb": p.MemoryMB, "sockets": p.Sockets}, "settings": settings}
+		"seed": fmt.Sprintf("%016x", p.Seed), "stop_ms": stopMs, "limits": m{"cores": cores, "memory_mb": p.MemoryMB, "sockets": p.Sockets}, "settings": settings}
 	b, err := json.MarshalIndent(file, "", " ")
 	if err != nil {
 		return err
--- a/internal/lab/run.go
+++ b/internal/lab/run.go
@@ -530,10 +530,10 @@
 // seen is what a process says of itself.
 type seen struct {
 	Duties *struct {
-		Me      string            `json:"me"`
-		Present bool              `json:"present"`
-		Held    map[string]uint64 `json:"held"`
-		Desk    *struct {
+		Me       string            `json:"me"`
+		Present  bool              `json:"present"`
+		Held     map[string]uint64 `json:"held"`
+		Sessions *struct {
 			Term uint64 `json:"term"`
 		} `json:"desk"`
 	} `json:"duties"`
@@ -659,8 +659,8 @@
 	var best *proc
 	term := uint64(0)
 	for p, s := range r.look() {
-		if s.Duties.Desk != nil && s.Duties.Desk.Term > term {
-			best, term = p, s.Duties.Desk.Term
+		if s.Duties.Sessions != nil && s.Duties.Sessions.Term > term {
+			best, term = p, s.Duties.Sessions.Term
 		}
 	}
 	if best == nil {
--- a/internal/lab/scale/cmd.go
+++ b/internal/lab/scale/cmd.go
@@ -23,18 +23,19 @@
 
 // Cmd plays the scale run. Its flags and the JSON of its last line are kept stable.
 type Cmd struct {
-	Seed    uint64        `default:"1" help:"One seed gives one schedule of faults and changes."`
-	Servers []int         `default:"300,1000,4300" help:"Order servers that follow the configuration, real ones included; rising."`
-	For     time.Duration `default:"20s" help:"How long each of the three phases of a size lasts."`
-	Out     string        `default:"scale-out" help:"A folder for logs, traces and the report."`
-	Plant   string        `help:"A bug to plant."`
-	List    bool          `help:"Name the faults and the bugs that can be planted."`
-	Zones   int           `default:"23" help:"Zones, each with one relay."`
-	Regions int           `default:"6" help:"Regions, over which the zones are spread."`
-	Real    int           `default:"6" help:"Real order servers among the servers."`
-	Routes  int           `default:"77000" help:"Routes in the store and in each real process."`
-	Tenants int           `default:"400000" help:"Tenants, likewise."`
-	Today   bool          `help:"Publish a file the way it is done without relays too, and measure that beside."`
+	Seed     uint64        `default:"1" help:"One seed gives one schedule of faults and changes."`
+	Servers  []int         `default:"300,1000,4300" help:"Order servers that follow the configuration, real ones included; rising."`
+	For      time.Duration `default:"20s" help:"How long each of the three phases of a size lasts."`
+	Out      string        `default:"scale-out" help:"A folder for logs, traces and the report."`
+	Plant    string        `help:"A bug to plant."`
+	List     bool          `help:"Name the faults and the bugs that can be planted."`
+	Zones    int           `default:"23" help:"Zones, each with one relay."`
+	Regions  int           `default:"6" help:"Regions, over which the zones are spread."`
+	Real     int           `default:"6" help:"Real order servers among the servers."`
+	Routes   int           `default:"77000" help:"Routes in the store and in each real process."`
+	Tenants  int           `default:"400000" help:"Tenants, likewise."`
+	Sessions bool          `default:"true" negatable:"" help:"Play the phase with sessions; without, the faults come without them too."`
+	Today    bool          `help:"Publish a file the way it is done without relays too, and measure that beside."`
 }
 
 // Setup is a checked command.
--- a/internal/lab/scale/fleet.go
+++ b/internal/lab/scale/fleet.go
@@ -19,6 +19,7 @@
 
 const (
 	copies     = 3
+	copyCores  = 3.0 // of one copy: with one, 4,300 sessions that open at once keep every copy from holding office
 	renewMs    = 500.0
 	presenceMs = 3000.0
 	clockRate  = 0.1
@@ -61,14 +62,22 @@
 // loopback is an address of this run's own: connections that are made come from 127.0.0.1, and so take none of its ports.
 var loopback = fmt.Sprintf("127.%d.%d.1", 64+os.Getpid()/250%128, os.Getpid()%250+1)
 
+// handedOut are the addresses that were picked: the system may give one that is free again a second time.
+var handedOut sync.Map
+
 // freeAddress picks an address that is free now.
 func freeAddress() (string, error) {
-	ln, err := net.Listen("tcp", loopback+":0")
-	if err != nil {
-		return "", err
+	for {
+		ln, err := net.Listen("tcp", loopback+":0")
+		if err != nil {
+			return "", err
+		}
+		address := ln.Addr().String()
+		ln.Close()
+		if _, again := handedOut.LoadOrStore(address, true); !again {
+			return address, nil
+		}
 	}
-	defer ln.Close()
-	return ln.Addr().String(), nil
 }
 
 // newFleet lays addresses, links and folders out; nothing is started.
@@ -176,7 +185,7 @@
 	platform := lab.PlatformFile{Name: p.name, Listen: listen, Executor: executor, Vault: executor, Operator: p.figures, Seed: f.Seed*1000 + uint64(p.life),
 		Servers: f.largest, Slots: f.largest, MemoryMB: 192, Sockets: 1024}
 	if _, ok := operator["store"]; ok {
-		platform.MemoryMB = 1536
+		platform.MemoryMB, platform.Cores = 1536, copyCores
 	}
 	if err := platform.Write(filepath.Join(p.dir, "config.json")); err != nil {
 		return err
@@ -424,8 +433,8 @@
 	term := uint64(0)
 	for _, p := range f.copies {
 		var v serverFigures
-		if readFigures(p.figures, &v) == nil && v.Duties != nil && v.Duties.Desk != nil && v.Duties.Desk.Term > term {
-			leads, term = p, v.Duties.Desk.Term
+		if readFigures(p.figures, &v) == nil && v.Duties != nil && v.Duties.Sessions != nil && v.Duties.Sessions.Term > term {
+			leads, term = p, v.Duties.Sessions.Term
 		}
 	}
 	return leads
--- a/internal/lab/scale/hollow.go
+++ b/internal/lab/scale/hollow.go
@@ -54,7 +54,7 @@
 
 // Orders of the laboratory.
 const (
-	orderSessions = "sessions" // every server opens a session
+	orderSessions = "sessions" // every server opens a session within Ms
 	orderCut      = "cut"      // Zones are cut off from all others; none: the cut is healed
 	orderRestart  = "restart"  // Percent of the servers are ended, and start again within DownMs
 	orderStall    = "stall"    // Count servers read nothing for Ms
@@ -182,9 +182,11 @@
 	case orderSessions:
 		p.withSes.Store(true)
 		for _, s := range p.servers {
-			s.mu.Lock()
-			s.openSession()
-			s.mu.Unlock()
+			time.AfterFunc(clock.Duration(o.Ms*rng.Float64()), func() {
+				s.mu.Lock()
+				defer s.mu.Unlock()
+				s.openSession()
+			})
 		}
 	case orderCut:
 		p.part.cut(o.Zones)
@@ -278,7 +280,7 @@
 	if err != nil {
 		return
 	}
-	c.Do(ctx, state.Command{Op: state.Word, Who: me, Said: &publish.Word{No: v.No}})
+	c.Do(ctx, state.Command{Op: state.AcknowledgeVersion, Who: me, Said: &publish.Acknowledgement{No: v.No}})
 }
 
 // end ends this life.
--- a/internal/lab/scale/measure.go
+++ b/internal/lab/scale/measure.go
@@ -65,12 +65,12 @@
 // serverFigures is what the laboratory reads of an order server.
 type serverFigures struct {
 	Duties *struct {
-		Me      string               `json:"me"`
-		Present bool                 `json:"present"`
-		Desk    *session.DeskFigures `json:"desk"`
-		Origin  *configwatch.Figures `json:"origin"`
-		Relays  *distribution.Report `json:"relays"`
-		Held    map[string]uint64    `json:"held"`
+		Me       string                 `json:"me"`
+		Present  bool                   `json:"present"`
+		Sessions *session.ServerFigures `json:"desk"`
+		Origin   *configwatch.Figures   `json:"origin"`
+		Relays   *distribution.Report   `json:"relays"`
+		Held     map[string]uint64      `json:"held"`
 	} `json:"duties"`
 	Records *struct {
 		configwatch.ClientFigures
@@ -112,8 +112,8 @@
 		var v serverFigures
 		if readFigures(s.leader.figures, &v) == nil && v.Duties != nil {
 			s.configBytes = v.Duties.Origin.Sent + v.Duties.Origin.Received
-			s.sessionBytes = v.Duties.Desk.Sent + v.Duties.Desk.Received
-			s.flights = v.Duties.Desk.Flights
+			s.sessionBytes = v.Duties.Sessions.Sent + v.Duties.Sessions.Received
+			s.flights = v.Duties.Sessions.Flights
 		}
 		s.leaderCPU = processorTime(s.leader.pid())
 	}
--- a/internal/lab/scale/run.go
+++ b/internal/lab/scale/run.go
@@ -24,6 +24,7 @@
 	steadyPerSecond = changesADay / 86400
 	faultPerSecond  = 2.0 // changes while faults are made
 	warmUp          = time.Second
+	sessionsMs      = 6000.0 // in which all sessions of a size open
 	publishedDir    = "published"
 	manifestName    = "SUMS"
 	todayBytes      = 64 << 10 // of a file that is published the way it is done without relays
@@ -188,14 +189,16 @@
 		return p, err
 	}
 	config := r.measured(ctx, o, w)
-	if err := r.orderAll(hollowOrder{Kind: orderSessions}); err != nil {
-		return p, err
-	}
-	if err := r.present(ctx); err != nil {
-		return p, err
+	r.fill(&p, config, config)
+	if r.Sessions {
+		if err := r.orderAll(hollowOrder{Kind: orderSessions, Ms: sessionsMs, Seed: r.Seed}); err != nil {
+			return p, err
+		}
+		if err := r.present(ctx); err != nil {
+			return p, err
+		}
+		r.fill(&p, config, r.measured(ctx, o, w))
 	}
-	both := r.measured(ctx, o, w)
-	r.fill(&p, config, both)
 	if r.Today {
 		if err := r.today(ctx, &p); err != nil {
 			return p, err
@@ -208,6 +211,7 @@
 	r.memory(&p)
 	if i < len(r.Servers)-1 {
 		endAll(r.hollows, syscall.SIGTERM)
+		r.hollows = nil
 	}
 	s.to = r.steady.Now()
 	r.spans = append(r.spans, s)
--- a/internal/lab/scale/scale_test.go
+++ b/internal/lab/scale/scale_test.go
@@ -51,7 +51,7 @@
 		"half of the machine's memory": func(c *Cmd) { c.Tenants, c.Real = 2000000, 100 },
 		"--out:":                       func(c *Cmd) { c.Out = filepath.Join(file, "below") },
 	} {
-		c := Cmd{Servers: []int{300, 1000}, For: time.Second, Out: filepath.Join(t.TempDir(), "out"), Zones: 23, Regions: 6, Real: 6, Routes: 1000, Tenants: 1000}
+		c := Cmd{Servers: []int{300, 1000}, For: time.Second, Out: filepath.Join(t.TempDir(), "out"), Zones: 23, Regions: 6, Real: 6, Routes: 1000, Tenants: 1000, Sessions: true}
 		change(&c)
 		if err := c.Run(&bytes.Buffer{}); err == nil || !strings.Contains(err.Error(), reason) {
 			t.Errorf("%s: %v", reason, err)
--- a/internal/net/session/client.go
+++ b/internal/net/session/client.go
@@ -213,15 +213,15 @@
 		}
 		return fmt.Errorf("session: %q leads", *m.Else)
 	}
-	if m.Told != nil {
+	if m.Reply != nil {
 		now := c.o.Steady.Now()
 		c.since = now
 		if !c.led {
 			c.led = true
 			c.on.Put(Linked{})
 		}
-		current := m.Told.Index >= c.m.Seen()
-		c.do(c.m.Told(now, *m.Told))
+		current := m.Reply.Index >= c.m.Seen()
+		c.do(c.m.HandleReply(now, *m.Reply))
 		if current {
 			if _, here := c.m.May(now, duty.PresenceOf(c.o.Me)); here && m.Share != nil && m.Share.Version > c.mine.Version {
 				c.mine.Take(*m.Share)
@@ -247,7 +247,7 @@
 // turn lets the machine look at the time, and comes back when it has to again. The lock is held.
 func (c *Client) turn() {
 	now := c.o.Steady.Now()
-	c.do(c.m.Turn(now))
+	c.do(c.m.Tick(now))
 	if c.conn != nil && now > c.since+answerFor*c.o.Rules.Renew {
 		c.conn.Close() // guards against a copy that stands still, or can't be heard: another may lead by now
 	}
@@ -270,7 +270,7 @@
 				if c.o.Need != nil {
 					need = c.o.Need()
 				}
-				c.line.send(toCopy{Beat: &a.Beat, Ack: c.used, Need: need})
+				c.line.send(toCopy{Heartbeat: &a.Heartbeat, Ack: c.used, Need: need})
 			}
 		case duty.Ended:
 			if a.Name == duty.PresenceOf(c.o.Me) {
--- a/internal/net/session/desk.go
+++ b/internal/net/session/server.go
@@ -30,7 +30,7 @@
 	mostFor   = 256  // orphans told at once
 )
 
-// Copy is the copy of the store at which a desk stands.
+// Copy is the copy of the store at which a server of sessions stands.
 type Copy interface {
 	Office() (term uint64, leads bool)
 	Leader() string
@@ -39,8 +39,8 @@
 	View(look func(st *state.State, index uint64))
 }
 
-// Desk serves sessions at a copy. One goroutine, Run, owns the grantor; it waits for no socket and no disk.
-type Desk struct {
+// Server serves sessions at a copy. One goroutine, Run, owns the grantor; it waits for no socket and no disk.
+type Server struct {
 	Led func(term uint64) // called when this copy begins to grant in a term; nil: nobody asks
 	// CheckChange refuses a change of records whose values make no sense, before it is written to the log; nil: none is.
 	CheckChange func(c records.Change) error
@@ -71,18 +71,18 @@
 }
 
 type counts struct {
-	mu                           sync.Mutex
-	Beats, Flights, Answers, Cut uint64
+	mu                                sync.Mutex
+	Heartbeats, Flights, Answers, Cut uint64
 }
 
-// DeskFigures are counts from the start of the process.
-type DeskFigures struct {
-	Beats   uint64 `json:"beats"`   // taken
-	Flights uint64 `json:"flights"` // entries of the log written for beats and questions
-	Answers uint64 `json:"answers"`
-	Cut     uint64 `json:"cut"` // sessions ended for what they sent, or did not
-	Open    int64  `json:"open"`
-	Term    uint64 `json:"term"` // in which this copy leads; 0: it does not
+// ServerFigures are counts from the start of the process.
+type ServerFigures struct {
+	Heartbeats uint64 `json:"beats"`   // taken
+	Flights    uint64 `json:"flights"` // entries of the log written for beats and questions
+	Answers    uint64 `json:"answers"`
+	Cut        uint64 `json:"cut"` // sessions ended for what they sent, or did not
+	Open       int64  `json:"open"`
+	Term       uint64 `json:"term"` // in which this copy leads; 0: it does not
 
 	Sent     uint64 `json:"sent"`     // bytes
 	Received uint64 `json:"received"` // bytes
@@ -116,28 +116,28 @@
 	}
 )
 
-// NewDesk makes a desk for so many sessions at once; Run has to be called for it to answer.
-func NewDesk(c Copy, g *duty.Grantor, most int, steady *clock.Clock, log zerolog.Logger) *Desk {
-	return &Desk{copy: c, clk: steady, log: log, g: g, most: most, inbox: mailbox.New[any](), beats: map[*caller]*toCopy{},
+// NewServer makes a server for so many sessions at once; Run has to be called for it to answer.
+func NewServer(c Copy, g *duty.Grantor, most int, steady *clock.Clock, log zerolog.Logger) *Server {
+	return &Server{copy: c, clk: steady, log: log, g: g, most: most, inbox: mailbox.New[any](), beats: map[*caller]*toCopy{},
 		callers: map[string]*caller{}, told: map[string]uint64{}, needs: map[string]int64{}}
 }
 
 // Figures reads the counts.
-func (d *Desk) Figures() DeskFigures {
+func (d *Server) Figures() ServerFigures {
 	d.count.mu.Lock()
 	defer d.count.mu.Unlock()
-	return DeskFigures{d.count.Beats, d.count.Flights, d.count.Answers, d.count.Cut, d.open.Load(), d.leads.Load(),
+	return ServerFigures{d.count.Heartbeats, d.count.Flights, d.count.Answers, d.count.Cut, d.open.Load(), d.leads.Load(),
 		d.bytes.Out.Load(), d.bytes.In.Load()}
 }
 
-func (d *Desk) add(n *uint64) {
+func (d *Server) add(n *uint64) {
 	d.count.mu.Lock()
 	*n++
 	d.count.mu.Unlock()
 }
 
 // Serve serves one session to its end.
-func (d *Desk) Serve(conn net.Conn) {
+func (d *Server) Serve(conn net.Conn) {
 	defer conn.Close()
 	if d.open.Add(1) > int64(d.most) {
 		d.open.Add(-1)
@@ -167,14 +167,14 @@
 }
 
 // take sorts one message; an error ends the session.
-func (d *Desk) take(c *caller, m toCopy) error {
+func (d *Server) take(c *caller, m toCopy) error {
 	switch {
-	case m.Beat != nil:
-		if err := c.is(m.Beat.From); err != nil {
+	case m.Heartbeat != nil:
+		if err := c.is(m.Heartbeat.From); err != nil {
 			return err
 		}
-		if len(m.Beat.Stands)+len(m.Beat.Renews)+len(m.Beat.Gives) > 4*(len(d.g.Duties)+1) {
-			return fmt.Errorf("session: a beat with %d names", len(m.Beat.Stands)+len(m.Beat.Renews)+len(m.Beat.Gives))
+		if len(m.Heartbeat.Stands)+len(m.Heartbeat.Renews)+len(m.Heartbeat.Gives) > 4*(len(d.g.Duties)+1) {
+			return fmt.Errorf("session: a beat with %d names", len(m.Heartbeat.Stands)+len(m.Heartbeat.Renews)+len(m.Heartbeat.Gives))
 		}
 		d.inbox.Put(beaten{c, m})
 	case m.Do != nil:
@@ -211,7 +211,7 @@
 	switch cmd.Op {
 	case state.Act, state.Ask, state.Freeze, state.Thaw, state.Change:
 		return nil
-	case state.Begin, state.End, state.Word:
+	case state.Begin, state.End, state.AcknowledgeVersion:
 		if who := c.who.Load(); who != nil && *who == cmd.Who {
 			return nil
 		}
@@ -220,7 +220,7 @@
 	return fmt.Errorf("session: %q is not taken from a session", cmd.Op)
 }
 
-func (d *Desk) do(c *caller, no uint64, cmd state.Command) {
+func (d *Server) do(c *caller, no uint64, cmd state.Command) {
 	if _, leads := d.copy.Office(); !leads {
 		d.elsewhere(c, no)
 		return
@@ -240,7 +240,7 @@
 	c.line.send(m)
 }
 
-func (d *Desk) checkChange(cmd state.Command) error {
+func (d *Server) checkChange(cmd state.Command) error {
 	if cmd.Op != state.Change || cmd.Change == nil || d.CheckChange == nil {
 		return nil
 	}
@@ -250,13 +250,13 @@
 	return d.CheckChange(*cmd.Change)
 }
 
-func (d *Desk) elsewhere(c *caller, no uint64) {
+func (d *Server) elsewhere(c *caller, no uint64) {
 	id := d.copy.Leader()
 	c.line.send(toServer{No: no, Else: &id})
 }
 
 // Run answers until the context ends.
-func (d *Desk) Run(ctx context.Context) {
+func (d *Server) Run(ctx context.Context) {
 	for {
 		d.arm()
 		select {
@@ -268,7 +268,7 @@
 	}
 }
 
-func (d *Desk) arm() {
+func (d *Server) arm() {
 	if !d.armed {
 		d.armed = true
 		d.clk.After(turnEvery, func() { d.inbox.Put(tick{}) })
@@ -277,7 +277,7 @@
 
 type tick struct{}
 
-func (d *Desk) turn() {
+func (d *Server) turn() {
 	d.batch = d.inbox.Take(d.batch)
 	look := false
 	for i, e := range d.batch {
@@ -289,13 +289,13 @@
 				e.m.Ack = old.Ack
 			}
 			if old := d.beats[e.from]; old != nil {
-				e.m.Beat.Gives = append(e.m.Beat.Gives, old.Beat.Gives...) // the later beat speaks for both
+				e.m.Heartbeat.Gives = append(e.m.Heartbeat.Gives, old.Heartbeat.Gives...) // the later beat speaks for both
 			}
 			d.beats[e.from] = &e.m
 			if d.g.Plant == duty.PlantUnproven && d.believes {
-				d.copy.View(func(st *state.State, index uint64) { d.answer(e.from, e.m.Beat.From, e.m.Beat.No, index, st) })
+				d.copy.View(func(st *state.State, index uint64) { d.answer(e.from, e.m.Heartbeat.From, e.m.Heartbeat.No, index, st) })
 			}
-			d.add(&d.count.Beats)
+			d.add(&d.count.Heartbeats)
 		case question:
 			d.asks = append(d.asks, e)
 		case left:
@@ -340,13 +340,13 @@
 }
 
 // work takes the beats and writes what they and the time call for.
-func (d *Desk) work(term uint64) {
+func (d *Server) work(term uint64) {
 	now := d.clk.Now() // after the beats came: a holder counts from when it sent one
 	f := flown{term: term, beats: d.beats, asks: d.asks}
 	var acks []state.Command
 	d.copy.View(func(st *state.State, _ uint64) {
 		for c, m := range d.beats {
-			b := *m.Beat
+			b := *m.Heartbeat
 			d.callers[b.From], d.told[b.From] = c, max(d.told[b.From], b.No)
 			d.needs[b.From] = m.Need
 			f.orders = append(f.orders, d.g.Take(now, b, st.Duties)...)
@@ -354,7 +354,7 @@
 				acks = append(acks, state.Command{Op: state.Ack, Who: b.From, Epoch: m.Ack})
 			}
 		}
-		f.orders = append(f.orders, d.g.Turn(now, st.Duties)...)
+		f.orders = append(f.orders, d.g.Tick(now, st.Duties)...)
 	})
 	for _, a := range acks {
 		d.copy.Propose(a) // nobody waits for it: the next beat says it again
@@ -368,7 +368,7 @@
 
 // fly writes an entry of the log and comes back with what it came to. One is under way at a time: what comes meanwhile
 // shares the next.
-func (d *Desk) fly(f flown) {
+func (d *Server) fly(f flown) {
 	d.flying = true
 	d.add(&d.count.Flights)
 	if len(f.orders) > 0 {
@@ -386,7 +386,7 @@
 	}()
 }
 
-func (d *Desk) land(f flown) {
+func (d *Server) land(f flown) {
 	d.flying = false
 	now := d.clk.Now()
 	if f.beats == nil && f.err == nil { // the term's first entry
@@ -420,8 +420,8 @@
 			}
 		}
 		for c, m := range f.beats {
-			delete(granted, m.Beat.From)
-			d.answer(c, m.Beat.From, m.Beat.No, index, st)
+			delete(granted, m.Heartbeat.From)
+			d.answer(c, m.Heartbeat.From, m.Heartbeat.No, index, st)
 		}
 		for who := range granted { // its last beat stood for it, and the grant was written after that came
 			if c := d.callers[who]; c != nil && d.told[who] > 0 {
@@ -441,9 +441,9 @@
 	return o.Epoch
 }
 
-func (d *Desk) answer(c *caller, who string, no, index uint64, st *state.State) {
+func (d *Server) answer(c *caller, who string, no, index uint64, st *state.State) {
 	told := d.g.Answer(who, no, index, st.Duties)
-	m := toServer{Told: &told, Version: st.Config.Latest().No}
+	m := toServer{Reply: &told, Version: st.Config.Latest().No}
 	if s := st.Shares.Shares[who]; s != nil {
 		v := *s
 		m.Share = &v
@@ -452,7 +452,7 @@
 	c.line.send(m)
 }
 
-func (d *Desk) reply(q question, st *state.State, term uint64) {
+func (d *Server) reply(q question, st *state.State, term uint64) {
 	var v any
 	switch q.what {
 	case ReadFleet:
@@ -465,7 +465,7 @@
 		v = Effects{Seq: st.Effects.Seq, Kept: len(st.Effects.Effects), Orphans: st.Effects.Orphans(st.Live, mostFor)}
 	case ReadDuties:
 		o := Duties{Table: st.Duties.Clone(), Marks: st.Marks, Stale: st.Stale, Words: map[string]string{}, Term: term, Lead: d.copy.Leader()}
-		for who, w := range st.Config.Words {
+		for who, w := range st.Config.Acknowledgements {
 			o.Words[who] = fmt.Sprintf("%d taken", w.No)
 			if w.Reason != "" {
 				o.Words[who] = fmt.Sprintf("%d turned down: %s", w.No, w.Reason)
--- a/internal/net/session/session_test.go
+++ b/internal/net/session/session_test.go
@@ -64,11 +64,11 @@
 	look(c.st, c.index)
 }
 
-// place is a desk on a port.
+// place is a server on a port.
 type place struct {
-	copy *oneCopy
-	desk *Desk
-	at   string
+	copy   *oneCopy
+	server *Server
+	at     string
 }
 
 func open(t *testing.T, c *oneCopy, steady *clock.Clock) *place {
@@ -78,7 +78,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { ln.Close() })
-	p := &place{copy: c, at: ln.Addr().String(), desk: NewDesk(c, &duty.Grantor{Rules: rules, Seed: 1}, 16, steady, zerolog.Nop())}
+	p := &place{copy: c, at: ln.Addr().String(), server: NewServer(c, &duty.Grantor{Rules: rules, Seed: 1}, 16, steady, zerolog.Nop())}
 	go func() {
 		for {
 			conn, err := ln.Accept()
@@ -91,11 +91,11 @@
 					conn.Close()
 					return
 				}
-				p.desk.Serve(conn)
+				p.server.Serve(conn)
 			}()
 		}
 	}()
-	go p.desk.Run(t.Context())
+	go p.server.Run(t.Context())
 	return p
 }
 
@@ -254,7 +254,7 @@
 	if ask() == nil {
 		t.Error("one more than the bound is served")
 	}
-	if f := lead.desk.Figures(); f.Open != 16 || f.Cut != 1 {
+	if f := lead.server.Figures(); f.Open != 16 || f.Cut != 1 {
 		t.Errorf("%+v", f)
 	}
 	conns[0].Close()
@@ -323,26 +323,26 @@
 					begun := time.Now()
 					var came [][]byte
 					for _, m := range fleet {
-						for _, a := range m.Turn(now) {
+						for _, a := range m.Tick(now) {
 							if s, ok := a.(duty.Send); ok {
-								came = append(came, must(framed(toCopy{Beat: &s.Beat})))
+								came = append(came, must(framed(toCopy{Heartbeat: &s.Heartbeat})))
 							}
 						}
 					}
 					theirs += time.Since(begun)
 					begun = time.Now()
 					var orders []duty.Order
-					var from []duty.Beat
+					var from []duty.Heartbeat
 					for _, f := range came {
 						var m toCopy
 						if err := json.Unmarshal(f[4:], &m); err != nil {
 							b.Fatal(err)
 						}
 						in += len(f)
-						from = append(from, *m.Beat)
-						orders = append(orders, g.Take(now, *m.Beat, st.Duties)...)
+						from = append(from, *m.Heartbeat)
+						orders = append(orders, g.Take(now, *m.Heartbeat, st.Duties)...)
 					}
-					orders = append(orders, g.Turn(now, st.Duties)...)
+					orders = append(orders, g.Tick(now, st.Duties)...)
 					if len(orders)+len(came) > 0 {
 						entries++
 						index++
@@ -354,7 +354,7 @@
 					var told [][]byte
 					for _, f := range from {
 						a := g.Answer(f.From, f.No, index, st.Duties)
-						told = append(told, must(framed(toServer{Told: &a})))
+						told = append(told, must(framed(toServer{Reply: &a})))
 						out += len(told[len(told)-1])
 					}
 					ours += time.Since(begun)
@@ -364,7 +364,7 @@
 						if err := json.Unmarshal(f[4:], &m); err != nil {
 							b.Fatal(err)
 						}
-						byName[from[i].From].Told(now, *m.Told)
+						byName[from[i].From].HandleReply(now, *m.Reply)
 					}
 					theirs += time.Since(begun)
 					beats += len(came)
--- a/internal/net/session/wire.go
+++ b/internal/net/session/wire.go
@@ -1,5 +1,5 @@
 // Package session is the way between order servers and the copies of the store: one connection a server for all of its
-// duties, its share, its acts and its effects. A Desk serves sessions at a copy, a Client holds one.
+// duties, its share, its acts and its effects. A Server serves sessions at a copy, a Client holds one.
 package session
 
 import (
@@ -28,25 +28,25 @@
 
 // toCopy is a message of an order server. One of its parts is set.
 type toCopy struct {
-	Beat *duty.Beat     `json:"beat,omitempty"`
-	Ack  uint64         `json:"ack,omitempty"`  // with a beat: the version of the share that is in use
-	Need int64          `json:"need,omitempty"` // with a beat: what it could use beyond its part for being alone
-	No   uint64         `json:"no,omitempty"`   // of a command or a question
-	Do   *state.Command `json:"do,omitempty"`
-	Read string         `json:"read,omitempty"`
+	Heartbeat *duty.Heartbeat `json:"beat,omitempty"`
+	Ack       uint64          `json:"ack,omitempty"`  // with a beat: the version of the share that is in use
+	Need      int64           `json:"need,omitempty"` // with a beat: what it could use beyond its part for being alone
+	No        uint64          `json:"no,omitempty"`   // of a command or a question
+	Do        *state.Command  `json:"do,omitempty"`
+	Read      string          `json:"read,omitempty"`
 }
 
 // toServer is a message of a copy. One of its parts is set.
 type toServer struct {
-	Told    *duty.Told      `json:"told,omitempty"`
-	Share   *allot.Share    `json:"share,omitempty"`   // with told
-	Version uint64          `json:"version,omitempty"` // with told: the latest published
-	Refused uint64          `json:"refused,omitempty"` // with told: acts of this server's duties refused for their epoch
-	No      uint64          `json:"no,omitempty"`
-	Result  *state.Result   `json:"result,omitempty"`
-	Body    json.RawMessage `json:"body,omitempty"` // the answer to a question
-	Error   string          `json:"error,omitempty"`
-	Else    *string         `json:"else,omitempty"` // the id of the copy that leads, as far as this one knows
+	Reply   *duty.HeartbeatReply `json:"told,omitempty"`
+	Share   *allot.Share         `json:"share,omitempty"`   // with told
+	Version uint64               `json:"version,omitempty"` // with told: the latest published
+	Refused uint64               `json:"refused,omitempty"` // with told: acts of this server's duties refused for their epoch
+	No      uint64               `json:"no,omitempty"`
+	Result  *state.Result        `json:"result,omitempty"`
+	Body    json.RawMessage      `json:"body,omitempty"` // the answer to a question
+	Error   string               `json:"error,omitempty"`
+	Else    *string              `json:"else,omitempty"` // the id of the copy that leads, as far as this one knows
 }
 
 // Questions.
--- a/internal/publish/publish.go
+++ b/internal/publish/publish.go
@@ -101,32 +101,32 @@
 	return hex.EncodeToString(h.Sum(nil))
 }
 
-// Word is what a server made of a version.
-type Word struct {
+// Acknowledgement is what a server made of a version.
+type Acknowledgement struct {
 	No     uint64 `json:"no"`
 	Reason string `json:"reason,omitempty"` // why it was turned down; "": it was taken whole
 }
 
-// Book is what all copies agree on. Its methods are steps of the log.
-type Book struct {
-	Versions []Version       `json:"versions,omitempty"` // the latest last
-	Words    map[string]Word `json:"words,omitempty"`    // by process
+// History is what all copies agree on. Its methods are steps of the log.
+type History struct {
+	Versions         []Version                  `json:"versions,omitempty"` // the latest last
+	Acknowledgements map[string]Acknowledgement `json:"words,omitempty"`    // by process
 }
 
-// NewBook is an empty book.
-func NewBook() *Book { return &Book{Words: map[string]Word{}} }
+// NewHistory is an empty book.
+func NewHistory() *History { return &History{Acknowledgements: map[string]Acknowledgement{}} }
 
 // Clone copies a book; versions are never changed once they stand.
-func (b *Book) Clone() *Book {
-	c := &Book{Versions: slices.Clone(b.Versions), Words: make(map[string]Word, len(b.Words))}
-	for k, v := range b.Words {
-		c.Words[k] = v
+func (b *History) Clone() *History {
+	c := &History{Versions: slices.Clone(b.Versions), Acknowledgements: make(map[string]Acknowledgement, len(b.Acknowledgements))}
+	for k, v := range b.Acknowledgements {
+		c.Acknowledgements[k] = v
 	}
 	return c
 }
 
 // Latest is the latest version; its number is 0 where there is none.
-func (b *Book) Latest() Version {
+func (b *History) Latest() Version {
 	if len(b.Versions) == 0 {
 		return Version{}
 	}
@@ -134,7 +134,7 @@
 }
 
 // Publish adds a version after the one that the publisher knew. The same files again are no new version.
-func (b *Book) Publish(files []File, after, epoch uint64) (uint64, error) {
+func (b *History) Publish(files []File, after, epoch uint64) (uint64, error) {
 	last := b.Latest()
 	switch {
 	case last.No != after:
@@ -152,19 +152,19 @@
 }
 
 // Say books what a process made of a version; it may not speak of one that was never out.
-func (b *Book) Say(who string, w Word) error {
+func (b *History) Say(who string, w Acknowledgement) error {
 	if w.No == 0 || w.No > b.Latest().No {
 		return fmt.Errorf("publish: there is no version %d", w.No)
 	}
 	if len(w.Reason) > 512 {
 		w.Reason = w.Reason[:512]
 	}
-	b.Words[who] = w
+	b.Acknowledgements[who] = w
 	return nil
 }
 
 // Drop forgets a process that is gone.
-func (b *Book) Drop(who string) { delete(b.Words, who) }
+func (b *History) Drop(who string) { delete(b.Acknowledgements, who) }
 
 // Keeper decides on a server's side which version is in force: the latest that it could take whole.
 type Keeper struct {
@@ -173,9 +173,9 @@
 }
 
 // Offer looks at a version by the server's own check and returns the word on it; fresh: it was not looked at before.
-func (k *Keeper) Offer(v Version, check func([]File) error) (w Word, fresh bool) {
+func (k *Keeper) Offer(v Version, check func([]File) error) (w Acknowledgement, fresh bool) {
 	if v.No <= k.Looked {
-		return Word{}, false
+		return Acknowledgement{}, false
 	}
 	k.Looked = v.No
 	w.No = v.No
--- a/internal/publish/publish_test.go
+++ b/internal/publish/publish_test.go
@@ -51,7 +51,7 @@
 }
 
 func TestVersionsCountAndAreTakenWholeOrNotAtAll(t *testing.T) {
-	b := NewBook()
+	b := NewHistory()
 	one, two := []File{{"f", []byte("1")}}, []File{{"f", []byte("2")}}
 	if n, err := b.Publish(one, 0, 1); n != 1 || err != nil {
 		t.Fatal(n, err)
@@ -63,18 +63,18 @@
 		t.Errorf("the same files again: version %d, %v", n, err)
 	}
 	var k Keeper
-	if w, fresh := k.Offer(b.Latest(), func([]File) error { return nil }); !fresh || w != (Word{No: 1}) || k.InForce != 1 {
+	if w, fresh := k.Offer(b.Latest(), func([]File) error { return nil }); !fresh || w != (Acknowledgement{No: 1}) || k.InForce != 1 {
 		t.Errorf("%+v %v", w, fresh)
 	}
 	b.Publish(two, 1, 2)
 	w, fresh := k.Offer(b.Latest(), func([]File) error { return errors.New("key x") })
-	if !fresh || w != (Word{2, "key x"}) || k.InForce != 1 {
+	if !fresh || w != (Acknowledgement{2, "key x"}) || k.InForce != 1 {
 		t.Errorf("%+v %v, in force %d", w, fresh, k.InForce)
 	}
 	if _, fresh := k.Offer(b.Latest(), nil); fresh {
 		t.Error("looked at twice")
 	}
-	if err := b.Say("a", Word{No: 3}); err == nil {
+	if err := b.Say("a", Acknowledgement{No: 3}); err == nil {
 		t.Error("a word on a version that was never out")
 	}
 	for n := uint64(2); n < 20; n++ {
--- a/internal/settle/settle.go
+++ b/internal/settle/settle.go
@@ -29,8 +29,8 @@
 	State State  `json:"s,omitempty"`
 }
 
-// Book is the record. Its methods are steps of the log.
-type Book struct {
+// Ledger is the record. Its methods are steps of the log.
+type Ledger struct {
 	Seq     uint64             `json:"seq"`
 	Effects map[string]*Effect `json:"effects"`
 	Most    int                `json:"-"`
@@ -39,13 +39,13 @@
 	open  map[string]*Effect
 }
 
-// NewBook is an empty record for so many effects.
-func NewBook(most int) *Book {
-	return &Book{Effects: map[string]*Effect{}, Most: most, open: map[string]*Effect{}}
+// NewLedger is an empty record for so many effects.
+func NewLedger(most int) *Ledger {
+	return &Ledger{Effects: map[string]*Effect{}, Most: most, open: map[string]*Effect{}}
 }
 
 // Restored completes a record that was read from a snapshot.
-func (b *Book) Restored(most int) {
+func (b *Ledger) Restored(most int) {
 	b.Most, b.order, b.open = most, nil, map[string]*Effect{}
 	if b.Effects == nil {
 		b.Effects = map[string]*Effect{}
@@ -65,8 +65,8 @@
 }
 
 // Clone copies a record.
-func (b *Book) Clone() *Book {
-	c := &Book{Seq: b.Seq, Effects: make(map[string]*Effect, len(b.Effects))}
+func (b *Ledger) Clone() *Ledger {
+	c := &Ledger{Seq: b.Seq, Effects: make(map[string]*Effect, len(b.Effects))}
 	for id, e := range b.Effects {
 		v := *e
 		c.Effects[id] = &v
@@ -77,7 +77,7 @@
 
 // Begin records an effect; false: it was begun before. Where keep is set, nothing is forgotten to make room: that is
 // the settler's, by age.
-func (b *Book) Begin(id, owner string, epoch uint64, keep bool) (bool, error) {
+func (b *Ledger) Begin(id, owner string, epoch uint64, keep bool) (bool, error) {
 	if b.Effects[id] != nil {
 		return false, nil
 	}
@@ -98,13 +98,13 @@
 	return true, nil
 }
 
-func (b *Book) forget(id string) {
+func (b *Ledger) forget(id string) {
 	delete(b.Effects, id)
 	delete(b.open, id)
 }
 
 // End books how an effect ended; what was settled, or is another's, stays as it is.
-func (b *Book) End(id, owner string, ok bool) bool {
+func (b *Ledger) End(id, owner string, ok bool) bool {
 	e := b.open[id]
 	if e == nil || e.Owner != owner {
 		return false
@@ -121,7 +121,7 @@
 type Live func(owner string, epoch uint64) bool
 
 // Orphans lists effects begun by processes that are gone, the oldest first, at most so many.
-func (b *Book) Orphans(live Live, most int) []string {
+func (b *Ledger) Orphans(live Live, most int) []string {
 	var ids []string
 	for id, e := range b.open {
 		if !live(e.Owner, e.Epoch) {
@@ -138,7 +138,7 @@
 }
 
 // Settle marks effects as of unknown outcome, as far as their process is gone now. Nothing runs one.
-func (b *Book) Settle(ids []string, live Live) (settled int) {
+func (b *Ledger) Settle(ids []string, live Live) (settled int) {
 	for _, id := range ids {
 		if e := b.open[id]; e != nil && !live(e.Owner, e.Epoch) {
 			e.State = Unknown
@@ -150,7 +150,7 @@
 }
 
 // Prune forgets effects up to a number that have ended.
-func (b *Book) Prune(upTo uint64) (pruned int) {
+func (b *Ledger) Prune(upTo uint64) (pruned int) {
 	b.order = slices.DeleteFunc(b.order, func(id string) bool {
 		e := b.Effects[id]
 		if e.Seq > upTo || b.open[id] != nil {
--- a/internal/settle/settle_test.go
+++ b/internal/settle/settle_test.go
@@ -7,7 +7,7 @@
 )
 
 func TestEffectsOfServersThatAreGone(t *testing.T) {
-	b := NewBook(10)
+	b := NewLedger(10)
 	here := map[string]uint64{"a": 1, "b": 2}
 	live := func(who string, epoch uint64) bool { return here[who] == epoch }
 	for _, id := range []string{"1", "2", "3"} {
@@ -54,7 +54,7 @@
 }
 
 func TestFullRecordForgetsNothingYoung(t *testing.T) {
-	b := NewBook(2)
+	b := NewLedger(2)
 	b.Begin("1", "a", 1, true)
 	b.Begin("2", "a", 1, true)
 	if fresh, err := b.Begin("3", "a", 1, true); fresh || !errors.Is(err, ErrFull) {
--- a/internal/state/digest.go
+++ b/internal/state/digest.go
@@ -39,7 +39,7 @@
 	addAll(part, "effect", s.Effects.Effects, add)
 	addAll(part, "lease", s.Duties.Leases, add)
 	addAll(part, "share", s.Shares.Shares, add)
-	addAll(part, "word", s.Config.Words, add)
+	addAll(part, "word", s.Config.Acknowledgements, add)
 	addAll(part, "mark", s.Marks, add)
 	addAll(part, "stale", s.Stale, add)
 	if s.Records.Revision() > 0 {
--- a/internal/state/digest_test.go
+++ b/internal/state/digest_test.go
@@ -34,7 +34,7 @@
 	do(Command{Op: Act, Fence: under, Do: []Command{{Op: Mark}}})
 	do(Command{Op: Act, Fence: under, Do: []Command{{Op: Pool, Amount: 9000}, {Op: Share, Who: "a#1", Amount: 300}}})
 	do(Command{Op: Act, Fence: under, Do: []Command{{Op: Publish, Files: []publish.File{{Name: "operator.yaml", Text: []byte("x")}}}}})
-	do(Command{Op: Word, Who: "a#1", Said: &publish.Word{No: 1}})
+	do(Command{Op: AcknowledgeVersion, Who: "a#1", Said: &publish.Acknowledgement{No: 1}})
 	s.Apply(Command{Op: Act, Fence: &duty.Ref{Name: "allotter", Epoch: 7}, Do: []Command{{Op: Mark}}}, 1)
 	return s
 }
@@ -81,7 +81,7 @@
 		"a share":              func(s *State) { s.Shares.Shares["a#1"].Cap++ },
 		"the pool":             func(s *State) { s.Shares.Pool++ },
 		"a version's text":     func(s *State) { s.Config.Versions[0].Files[0].Text = []byte("y") },
-		"a word":               func(s *State) { s.Config.Words["a#1"] = publish.Word{No: 2} },
+		"a word":               func(s *State) { s.Config.Acknowledgements["a#1"] = publish.Acknowledgement{No: 2} },
 		"a mark":               func(s *State) { s.Marks["allotter"]++ },
 		"a count of refusals":  func(s *State) { s.Stale["allotter"]++ },
 	} {
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -26,17 +26,17 @@
 
 // Kinds of commands.
 const (
-	Set    = "set"
-	Delete = "delete"
-	Begin  = "begin"  // an effect is about to run
-	End    = "end"    // effects have ended
-	Orders = "orders" // the grantor's
-	Act    = "act"    // under a duty
-	Ask    = "ask"    // an operator wants a duty given up
-	Freeze = "freeze" // or not to be granted
-	Thaw   = "thaw"
-	Ack    = "ack"  // a process uses no more than its share
-	Word   = "word" // what a process made of a version
+	Set                = "set"
+	Delete             = "delete"
+	Begin              = "begin"  // an effect is about to run
+	End                = "end"    // effects have ended
+	Orders             = "orders" // the grantor's
+	Act                = "act"    // under a duty
+	Ask                = "ask"    // an operator wants a duty given up
+	Freeze             = "freeze" // or not to be granted
+	Thaw               = "thaw"
+	Ack                = "ack"  // a process uses no more than its share
+	AcknowledgeVersion = "word" // what a process made of a version
 
 	Change = "change" // of records
 
@@ -57,18 +57,18 @@
 	Key   string `json:"key,omitempty"` // of a value; an effect's id
 	Value []byte `json:"value,omitempty"`
 
-	Who    string         `json:"who,omitempty"`   // the process that speaks
-	Epoch  uint64         `json:"epoch,omitempty"` // of its presence, for Begin; a version, for Ack
-	Keep   bool           `json:"keep,omitempty"`  // forget no effect to make room
-	Orders []duty.Order   `json:"orders,omitempty"`
-	Fence  *duty.Ref      `json:"fence,omitempty"` // the grant under which an act is done
-	Do     []Command      `json:"do,omitempty"`    // the act
-	IDs    []string       `json:"ids,omitempty"`
-	Failed []string       `json:"failed,omitempty"` // for End: ids of effects that failed; IDs has the others
-	Amount int64          `json:"amount,omitempty"`
-	Seq    uint64         `json:"seq,omitempty"`
-	Files  []publish.File `json:"files,omitempty"`
-	Said   *publish.Word  `json:"said,omitempty"`
+	Who    string                   `json:"who,omitempty"`   // the process that speaks
+	Epoch  uint64                   `json:"epoch,omitempty"` // of its presence, for Begin; a version, for Ack
+	Keep   bool                     `json:"keep,omitempty"`  // forget no effect to make room
+	Orders []duty.Order             `json:"orders,omitempty"`
+	Fence  *duty.Ref                `json:"fence,omitempty"` // the grant under which an act is done
+	Do     []Command                `json:"do,omitempty"`    // the act
+	IDs    []string                 `json:"ids,omitempty"`
+	Failed []string                 `json:"failed,omitempty"` // for End: ids of effects that failed; IDs has the others
+	Amount int64                    `json:"amount,omitempty"`
+	Seq    uint64                   `json:"seq,omitempty"`
+	Files  []publish.File           `json:"files,omitempty"`
+	Said   *publish.Acknowledgement `json:"said,omitempty"`
 
 	Change *records.Change `json:"change,omitempty"`
 }
@@ -86,9 +86,9 @@
 type State struct {
 	Values  map[string][]byte
 	Duties  *duty.Table
-	Shares  *allot.Book
-	Effects *settle.Book
-	Config  *publish.Book
+	Shares  *allot.Ledger
+	Effects *settle.Ledger
+	Config  *publish.History
 	Records *records.Set
 	Marks   map[string]uint64 // by duty
 	Stale   map[string]uint64 // acts refused for their epoch, by duty
@@ -98,8 +98,8 @@
 
 // New is the empty state.
 func New() *State {
-	return &State{Values: map[string][]byte{}, Duties: duty.NewTable(), Shares: allot.NewBook(),
-		Effects: settle.NewBook(mostEffects), Config: publish.NewBook(), Records: records.NewSet(records.DefaultLimits),
+	return &State{Values: map[string][]byte{}, Duties: duty.NewTable(), Shares: allot.NewLedger(),
+		Effects: settle.NewLedger(mostEffects), Config: publish.NewHistory(), Records: records.NewSet(records.DefaultLimits),
 		Marks: map[string]uint64{}, Stale: map[string]uint64{}}
 }
 
@@ -159,7 +159,7 @@
 	case Ack:
 		s.Shares.Ack(c.Who, c.Epoch)
 		return Result{}
-	case Word:
+	case AcknowledgeVersion:
 		if c.Said == nil {
 			return Result{Error: "state: no word"}
 		}
@@ -252,9 +252,9 @@
 	Values  map[string][]byte `json:"values"`
 	Order   []string          `json:"order,omitempty"`
 	Duties  *duty.Table       `json:"duties,omitempty"`
-	Shares  *allot.Book       `json:"shares,omitempty"`
-	Effects *settle.Book      `json:"effects,omitempty"`
-	Config  *publish.Book     `json:"config,omitempty"`
+	Shares  *allot.Ledger     `json:"shares,omitempty"`
+	Effects *settle.Ledger    `json:"effects,omitempty"`
+	Config  *publish.History  `json:"config,omitempty"`
 	Records *records.Frozen   `json:"records,omitempty"`
 	Marks   map[string]uint64 `json:"marks,omitempty"`
 	Stale   map[string]uint64 `json:"stale,omitempty"`
@@ -289,8 +289,8 @@
 	}
 	if k.Config != nil {
 		s.Config = k.Config
-		if s.Config.Words == nil {
-			s.Config.Words = map[string]publish.Word{}
+		if s.Config.Acknowledgements == nil {
+			s.Config.Acknowledgements = map[string]publish.Acknowledgement{}
 		}
 	}
 	if k.Records != nil {
--- a/internal/state/state_test.go
+++ b/internal/state/state_test.go
@@ -107,7 +107,7 @@
 	p := grant(t, s, "publisher", "a")
 	s.Apply(Command{Op: Begin, Key: "e1", Who: "a", Epoch: a.Epoch, Keep: true}, 3)
 	s.Apply(act(p, Command{Op: Publish, Files: []publish.File{{Name: "f", Text: []byte("x")}}}, Command{Op: Mark}), 3)
-	s.Apply(Command{Op: Word, Who: "a", Said: &publish.Word{No: 1, Reason: "no"}}, 3)
+	s.Apply(Command{Op: AcknowledgeVersion, Who: "a", Said: &publish.Acknowledgement{No: 1, Reason: "no"}}, 3)
 	s.Apply(Command{Op: Freeze, Key: "publisher"}, 3)
 	s.Apply(act(duty.Ref{Name: "publisher", Epoch: 99}, Command{Op: Mark}), 3)
 	b, err := json.Marshal(s.Keep())
