--- a/internal/net/configwatch/client.go
+++ b/internal/net/configwatch/client.go
@@ -272,7 +272,8 @@
 		return errPiece
 	}
 	if h.Revision < f.Position().Revision {
-		return errBackRev
+		// A feed that is behind its watcher sends it away, so this one knows the watcher's revision, and with other records.
+		f.Discard(errOther)
 	}
 	a, err := records.NewAssembler(h, f.KeepsRecords())
 	if err != nil {
--- a/internal/net/configwatch/configwatch_test.go
+++ b/internal/net/configwatch/configwatch_test.go
@@ -254,6 +254,29 @@
 	w.tookSnapshot(t)
 }
 
+// The same where the feed's snapshot is older than the revision that the watcher claims: it must not be left without any.
+func TestOtherRecordsAreThrownAwayForAnOlderSnapshot(t *testing.T) {
+	limits := distribution.Limits{Commits: 10, Bytes: 1 << 20, Watchers: 10, Snapshots: 2}
+	a, b := openFeed(t, distribution.DefaultLimits), openFeed(t, limits)
+	for range 23 {
+		a.commit("of-a")
+	}
+	for range 20 {
+		b.commit("of-b")
+	}
+	watch(t, "", to(b)).level(t, b) // makes the snapshot, as of 20
+	for range 5 {
+		b.commit("of-b")
+	}
+	path := filepath.Join(t.TempDir(), "records")
+	w := watch(t, path, to(a))
+	w.level(t, a)
+	w.stop()
+	w = watch(t, path, to(b))
+	w.level(t, b)
+	w.tookSnapshot(t)
+}
+
 // One that is full names another and a time; the watcher goes there.
 func TestRefusedWatchersGoElsewhere(t *testing.T) {
 	other := openFeed(t, distribution.DefaultLimits)
--- a/internal/net/configwatch/wire.go
+++ b/internal/net/configwatch/wire.go
@@ -65,9 +65,9 @@
 
 // Errors of a connection.
 var (
-	errNoPart  = errors.New("configwatch: a message without a part")
-	errPiece   = errors.New("configwatch: a piece without a snapshot")
-	errAgain   = errors.New("configwatch: a second watch on one connection")
-	errNotYet  = errors.New("configwatch: a report before a watch")
-	errBackRev = errors.New("configwatch: a snapshot of an earlier revision than is held")
+	errNoPart = errors.New("configwatch: a message without a part")
+	errPiece  = errors.New("configwatch: a piece without a snapshot")
+	errAgain  = errors.New("configwatch: a second watch on one connection")
+	errNotYet = errors.New("configwatch: a report before a watch")
+	errOther  = errors.New("configwatch: other records are held at this revision than were agreed on")
 )
