Start a successor in tests only once the first process can be replaced

At fault is the test: it started the second process as soon as the first listened (main.go logs 'serving routers' in doors), before handover.New offered the sockets. On a port of the system's choice the second then finds nobody and serves beside the first; on a fixed port it gets EADDRINUSE and asks again for 5 s (doors), so the program is right. Shown by 300 ms of sleep before handover.New: two of the three tests of this kind hang without the change.

Measured: the tests of the package pass, with and without the sleep.

--- a/cmd/puffinsaddle/main.go
+++ b/cmd/puffinsaddle/main.go
@@ -176,6 +176,8 @@
 		if given.path != "" {
 			if offer, err = handover.New(given.path, sockets, func() []byte { return handOn(c, log) }, c.TakeBack, log); err != nil {
 				note(log, err) // then this process can't be replaced while it runs
+			} else {
+				log.Info().Msg("may be replaced")
 			}
 		}
 		ready.Store(true)
--- a/cmd/puffinsaddle/main_test.go
+++ b/cmd/puffinsaddle/main_test.go
@@ -32,13 +32,30 @@
 
 func (l logLines) want(t *testing.T, word string) string {
 	t.Helper()
-	for line := range l {
-		if strings.Contains(line, word) {
-			return line
+	late := time.After(enough)
+	for {
+		select {
+		case line, open := <-l:
+			if !open {
+				t.Fatalf("the log ended without %q", word)
+			}
+			if strings.Contains(line, word) {
+				return line
+			}
+		case <-late:
+			t.Fatalf("the log had no %q for %s", word, enough)
 		}
 	}
-	t.Fatalf("the log ended without %q", word)
-	return ""
+}
+
+// serves waits until a process can be replaced, and is where it listens: one that starts before that finds nobody, and on a
+// port of the system's choice it would serve beside the first.
+func (l logLines) serves(t *testing.T) (at string) {
+	t.Helper()
+	_, at, _ = strings.Cut(l.want(t, "serving routers"), `"at":"`)
+	at, _, _ = strings.Cut(at, `"`)
+	l.want(t, "may be replaced")
+	return at
 }
 
 // now is a notice that comes just now.
@@ -175,8 +192,7 @@
 	const check, healthy = "*2\r\n$6\r\nHEALTH\r\n$1\r\n1\r\n", "*3\r\n$1\r\n1\r\n$7\r\nhealthy\r\n"
 	first, _ := executorPeer(t, "WELCOME steady 5\r\n")
 	lines, signals, done := start(first)
-	_, at, _ := strings.Cut(lines.want(t, "serving routers"), `"at":"`)
-	at, _, _ = strings.Cut(at, `"`)
+	at := lines.serves(t)
 	ask := func() {
 		t.Helper()
 		conn, err := net.Dial("tcp", at)
@@ -221,8 +237,7 @@
 	start := starter(t)
 	first, _ := executorPeer(t, "WELCOME steady 5\r\n")
 	lines, signals, _ := start(first)
-	_, at, _ := strings.Cut(lines.want(t, "serving routers"), `"at":"`)
-	at, _, _ = strings.Cut(at, `"`)
+	at := lines.serves(t)
 	second, joins := executorPeer(t, "")
 	start(second)
 	<-joins
@@ -249,8 +264,7 @@
 	start := starter(t)
 	first, _ := executorPeer(t, "WELCOME steady 5\r\n")
 	lines, signals, _ := start(first)
-	_, at, _ := strings.Cut(lines.want(t, "serving routers"), `"at":"`)
-	at, _, _ = strings.Cut(at, `"`)
+	at := lines.serves(t)
 	second, joins := executorPeer(t, "")
 	_, signals2, done2 := start(second)
 	<-joins
