Let operators set how long a copy that leads may go unheard, and measure rates on the disk

Change: store.election_ms, 500 as before, from 100 to 60000; BenchmarkBookingRate, BenchmarkChangeRate and BenchmarkRestartRate write at times drawn ahead to three copies with their logs on the disk.

--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -79,6 +79,8 @@
 		{"", "", "store: {listen: ':1'}", "store.dir"},
 		{"", "", "store: {listen: ':1', dir: x}", "store.peers is missing"},
 		{"", "", "store: {listen: ':1', dir: x, compare_ms: .nan}", "store.compare_ms must be above 0"},
+		{"", "", "store: {listen: ':1', dir: x, election_ms: 10}", "store.election_ms must be from 100 to 60000, not 10"},
+		{"", "", "store: {listen: ':1', dir: x, election_ms: .nan}", "store.election_ms must be from 100 to 60000"},
 		{"", "", "store: {listen: ':1', dir: x, peers: {b: y}}", "store.peers.b"},
 		{"", "", "store: {listen: ':1', dir: x, peers: {a: 'a:1', b: 'b:1'}}", "store.peers names 2 nodes"},
 		{"", "", "store: {listen: ':1', dir: x, id: b, peers: {a: 'a:1'}}", "store.peers: b, this node's own id"},
--- a/internal/config/duties.go
+++ b/internal/config/duties.go
@@ -160,6 +160,12 @@
 	return nil
 }
 
+// Bounds of store.election_ms.
+const (
+	leastElection = 100
+	mostElection  = 60000
+)
+
 func (st Store) check() error {
 	if st.Listen == "" {
 		return nil
@@ -170,6 +176,9 @@
 	if st.Dir == "" {
 		return errors.New("store.dir is missing")
 	}
+	if !(st.Election >= leastElection && st.Election <= mostElection) {
+		return fmt.Errorf("store.election_ms must be from %d to %d, not %v", leastElection, mostElection, st.Election)
+	}
 	if !(st.CompareMs > 0) || math.IsInf(st.CompareMs, 0) {
 		return fmt.Errorf("store.compare_ms must be above 0, not %v", st.CompareMs)
 	}
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -29,10 +29,11 @@
 	ID        string            `yaml:"id"`     // empty: the program's name
 	Listen    string            `yaml:"listen"` // empty: no store
 	Dir       string            `yaml:"dir"`
-	Peers     map[string]string `yaml:"peers"`      // id and address of each node, this one included
-	Via       map[string]string `yaml:"via"`        // by id: another address at which this node reaches that one
-	CompareMs float64           `yaml:"compare_ms"` // between two parts of the state that copies compare
-	Strict    bool              `yaml:"strict"`     // more of the others have to be heard before this node takes part
+	Peers     map[string]string `yaml:"peers"`       // id and address of each node, this one included
+	Via       map[string]string `yaml:"via"`         // by id: another address at which this node reaches that one
+	CompareMs float64           `yaml:"compare_ms"`  // between two parts of the state that copies compare
+	Election  float64           `yaml:"election_ms"` // a leader that is not heard for so long, up to twice that, is replaced
+	Strict    bool              `yaml:"strict"`      // more of the others have to be heard before this node takes part
 }
 
 // Inventory names the hosts of the site.
@@ -68,7 +69,7 @@
 
 // ParseOperator reads, checks and completes an operator's file.
 func ParseOperator(text []byte) (Operator, error) {
-	o := Operator{Text: text, Inventory: Inventory{Port: 3031}, Duties: defaultDuties, Relay: defaultRelay, Store: Store{CompareMs: 1000}, UWSGI: UWSGI{MaxBody: 64 << 10, MaxResult: 1 << 20, ReadMs: 2000, Conns: 128, KB: 24}}
+	o := Operator{Text: text, Inventory: Inventory{Port: 3031}, Duties: defaultDuties, Relay: defaultRelay, Store: Store{CompareMs: 1000, Election: 500}, UWSGI: UWSGI{MaxBody: 64 << 10, MaxResult: 1 << 20, ReadMs: 2000, Conns: 128, KB: 24}}
 	d := yaml.NewDecoder(bytes.NewReader(text))
 	d.KnownFields(true)
 	if err := d.Decode(&o); err != nil && len(bytes.TrimSpace(text)) > 0 {
--- /dev/null
+++ b/internal/store/rates_test.go
@@ -0,0 +1,189 @@
+package store
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"puffinsaddle/internal/duty"
+	"puffinsaddle/internal/records"
+	"puffinsaddle/internal/state"
+)
+
+const rateFor = 3 * time.Second // of one point
+
+// threeCopies is a set of three copies in this process, each with its log on the disk, and the one that leads.
+func threeCopies(b *testing.B) *Store {
+	b.Helper()
+	peers := map[string]string{}
+	var nodes []*Store
+	for _, id := range []string{"a", "b", "c"} {
+		s, err := Open(Options{ID: id, Listen: "127.0.0.1:0", Dir: b.TempDir()})
+		if err != nil {
+			b.Fatal(err)
+		}
+		b.Cleanup(func() { s.Close() })
+		peers[id] = s.Addr()
+		nodes = append(nodes, s)
+	}
+	for _, s := range nodes {
+		if err := s.Start(peers); err != nil {
+			b.Fatal(err)
+		}
+	}
+	for late := time.Now().Add(patience); time.Now().Before(late); time.Sleep(time.Millisecond) {
+		for _, s := range nodes {
+			if _, leads := s.Office(); leads {
+				return s
+			}
+		}
+	}
+	b.Fatal("no copy leads")
+	return nil
+}
+
+// processorTime is what this process has used, in seconds.
+func processorTime(b *testing.B) float64 {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		b.Fatal(err)
+	}
+	return float64(u.Utime.Nano()+u.Stime.Nano()) / 1e9
+}
+
+// diskBytes is what this process has had written to the disk, in bytes.
+func diskBytes(b *testing.B) float64 {
+	const field = "write_bytes:"
+	text, err := os.ReadFile("/proc/self/io")
+	if err != nil {
+		b.Skip("the kernel does not count what is written: ", err)
+	}
+	for line := range strings.Lines(string(text)) {
+		if number, ok := strings.CutPrefix(line, field); ok {
+			n, err := strconv.ParseFloat(strings.TrimSpace(number), 64)
+			if err != nil {
+				b.Fatal(err)
+			}
+			return n
+		}
+	}
+	b.Fatalf("/proc/self/io has no %s", field)
+	return 0
+}
+
+// measureRate has entries written at a rate, at times drawn ahead, and tells what three copies take of processor time and disk a
+// second, and how long an entry takes from the time that was drawn for it.
+func measureRate(b *testing.B, rate float64, write func(lead *Store, i int) error) {
+	lead := threeCopies(b)
+	if err := write(lead, 0); err != nil {
+		b.Fatal(err)
+	}
+	rng := rand.New(rand.NewPCG(1, 41))
+	for b.Loop() {
+		var all sync.WaitGroup
+		var mu sync.Mutex
+		var took []float64
+		usedBefore, writtenBefore, began := processorTime(b), diskBytes(b), time.Now()
+		at := began
+		for i := 1; ; i++ {
+			at = at.Add(time.Duration(rng.ExpFloat64() / rate * float64(time.Second)))
+			if at.Sub(began) > rateFor {
+				break
+			}
+			time.Sleep(time.Until(at))
+			intended := at
+			all.Go(func() {
+				err := write(lead, i)
+				ms := float64(time.Since(intended)) / float64(time.Millisecond)
+				mu.Lock()
+				defer mu.Unlock()
+				if err != nil {
+					b.Error(err)
+				}
+				took = append(took, ms)
+			})
+		}
+		all.Wait()
+		seconds := time.Since(began).Seconds()
+		slices.Sort(took)
+		if len(took) == 0 {
+			b.Fatal("no entry was written")
+		}
+		b.ReportMetric(float64(len(took))/seconds, "entries/s")
+		b.ReportMetric((processorTime(b)-usedBefore)/seconds*1e6, "three-copies-µs/s")
+		b.ReportMetric((diskBytes(b)-writtenBefore)/seconds, "three-disks-bytes/s")
+		b.ReportMetric(took[len(took)/2], "p50-ms")
+		b.ReportMetric(took[len(took)*99/100], "p99-ms")
+	}
+}
+
+func proposed(lead *Store, c state.Command) error {
+	r, err := lead.Propose(c)()
+	if err == nil && r.Error != "" {
+		err = fmt.Errorf("refused: %s", r.Error)
+	}
+	return err
+}
+
+// BenchmarkBookingRate measures three copies by bookings a second: a begin and an end each.
+func BenchmarkBookingRate(b *testing.B) {
+	for _, rate := range []int{250, 500, 1000, 2000, 4000} {
+		b.Run(fmt.Sprintf("rate=%d", rate), func(b *testing.B) {
+			measureRate(b, float64(rate), func(lead *Store, i int) error {
+				id := fmt.Sprintf("%016x", i)
+				if err := proposed(lead, state.Command{Op: state.Begin, Key: id}); err != nil {
+					return err
+				}
+				return proposed(lead, state.Command{Op: state.End, IDs: []string{id}})
+			})
+		})
+	}
+}
+
+// BenchmarkChangeRate measures three copies by changes of configuration a second, of three records each.
+func BenchmarkChangeRate(b *testing.B) {
+	for _, rate := range []int{10, 50, 100, 200, 400} {
+		b.Run(fmt.Sprintf("rate=%d", rate), func(b *testing.B) {
+			measureRate(b, float64(rate), func(lead *Store, i int) error {
+				var c records.Change
+				for k := range 3 {
+					c.Puts = append(c.Puts, records.Put{Key: records.Key{Kind: records.Tenant, Name: fmt.Sprintf("tenant-%06d", i%1000*3+k)},
+						Value: fmt.Appendf(nil, `{"share":0.0000025,"limit":%d.5}`, i%500)})
+				}
+				return proposed(lead, state.Command{Op: state.Change, Change: &c})
+			})
+		})
+	}
+}
+
+// BenchmarkRestartRate measures three copies by restarts a second: a presence that lapses and one that is granted.
+func BenchmarkRestartRate(b *testing.B) {
+	for _, rate := range []int{1, 10, 50, 100, 200} {
+		b.Run(fmt.Sprintf("rate=%d", rate), func(b *testing.B) {
+			measureRate(b, float64(rate), func(lead *Store, i int) error {
+				term, _ := lead.Office()
+				who := fmt.Sprintf("os-%04d#%016x", i%4300, i)
+				name := duty.PresenceOf(who)
+				grant := duty.Order{Kind: duty.Grant, Name: name, Holder: who, TTL: 3000, Term: term}
+				if err := proposed(lead, state.Command{Op: state.Orders, Orders: []duty.Order{grant}}); err != nil {
+					return err
+				}
+				epoch := uint64(0)
+				lead.View(func(st *state.State, _ uint64) {
+					if l := st.Duties.Leases[name]; l != nil {
+						epoch = l.Epoch
+					}
+				})
+				lapse := duty.Order{Kind: duty.Lapse, Name: name, Holder: who, Epoch: epoch, Term: term}
+				return proposed(lead, state.Command{Op: state.Orders, Orders: []duty.Order{lapse}})
+			})
+		})
+	}
+}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -4,6 +4,7 @@
 package store
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -35,8 +36,8 @@
 	writeFor      = 2 * time.Second
 	mostWrite     = 1 << 20 // bytes of one write
 	closeFor      = time.Second
-	leaderFor     = 500 * time.Millisecond // a leader that is not heard for so long, up to twice that, is replaced
-	snapshotAfter = 8192                   // log entries
+	electionEach  = 500.0 // ms
+	snapshotAfter = 8192  // log entries
 )
 
 // Options set up one node.
@@ -52,8 +53,9 @@
 	Events   zerolog.Logger
 	Steady   *clock.Clock // nil: the system's
 
-	CompareMs float64                 // between two parts of the state that copies compare; 0: 1000
-	Told      func(phase, why string) // called at each change of the node's phase; must not wait; nil: nobody asks
+	ElectionMs float64                 // a leader that is not heard for so long, up to twice that, is replaced; 0: 500
+	CompareMs  float64                 // between two parts of the state that copies compare; 0: 1000
+	Told       func(phase, why string) // called at each change of the node's phase; must not wait; nil: nobody asks
 
 	Watch func(index, term uint64, c state.Command, r state.Result) // called for each entry that is applied, in order; must not wait
 	Plant string                                                    // a planted bug, for the laboratory; "": none
@@ -65,7 +67,8 @@
 	conf.LocalID, conf.LogOutput, conf.SnapshotThreshold = raft.ServerID(o.ID), o.Log, snapshotAfter
 	conf.LogLevel = "WARN"
 	// A leader's end must be found, and another one chosen, before those who hold duties have to give them up.
-	conf.HeartbeatTimeout, conf.ElectionTimeout, conf.LeaderLeaseTimeout = leaderFor, leaderFor, leaderFor/2
+	election := clock.Duration(cmp.Or(o.ElectionMs, electionEach))
+	conf.HeartbeatTimeout, conf.ElectionTimeout, conf.LeaderLeaseTimeout = election, election, election/2
 	return conf
 }
 
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -160,30 +160,7 @@
 func BenchmarkBegins(b *testing.B) {
 	for _, writers := range []int{1, 16, 64} {
 		b.Run(fmt.Sprintf("writers=%d", writers), func(b *testing.B) {
-			peers := map[string]string{}
-			var nodes []*Store
-			for _, id := range []string{"a", "b", "c"} {
-				s, err := Open(Options{ID: id, Listen: "127.0.0.1:0", Dir: b.TempDir()})
-				if err != nil {
-					b.Fatal(err)
-				}
-				defer s.Close()
-				peers[id] = s.Addr()
-				nodes = append(nodes, s)
-			}
-			for _, s := range nodes {
-				if err := s.Start(peers); err != nil {
-					b.Fatal(err)
-				}
-			}
-			var lead *Store
-			for lead == nil {
-				for _, s := range nodes {
-					if _, leads := s.Office(); leads {
-						lead = s
-					}
-				}
-			}
+			lead := threeCopies(b)
 			var mu sync.Mutex
 			var took []float64
 			var next atomic.Int64
