Take a fleet that comes at once in bounded steps, and space its tries

Seen: 4,294 sessions that opened at once kept every copy from holding office. At fault: Grantor.Take deleted a process from what every other stands for (grantor.go, 'for _, of := range g.stands'), and each server that is not present yet stands for its own presence, so each heartbeat walked the fleet, under the lock of the copy's state; Tick wrote all orders as one entry; session.Client tried again after 20 to 400 ms however often it had failed.

Change: only duties and the process's own presence are looked at; at most 512 orders an entry; tries wait a random part of a span that doubles from a fifth of a renewal to two (package backoff, which the choice of a relay uses too); a full copy says when to come back.

--- a/cmd/puffinsaddle/duties.go
+++ b/cmd/puffinsaddle/duties.go
@@ -74,7 +74,7 @@
 	Share    float64                `json:"share"`   // calls in hand that may be below beyond the part for being alone
 	Used     float64                `json:"used"`    // calls in hand below of late
 	Version  uint64                 `json:"version"` // published, in force
-	Sessions *session.ServerFigures `json:"desk,omitempty"`
+	Sessions *session.ServerFigures `json:"sessions,omitempty"`
 
 	Origin *configwatch.Figures `json:"origin,omitempty"` // of a copy: the relays that watch it
 	Relays *distribution.Report `json:"relays,omitempty"` // of the copy that leads: what the relays reported
--- a/internal/distribution/selector.go
+++ b/internal/distribution/selector.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"net"
 	"slices"
+
+	"puffinsaddle/internal/backoff"
 )
 
 // Relay is one relay as servers know it.
@@ -54,7 +56,7 @@
 	order  []Relay
 	place  Place
 	next   int
-	fails  int
+	tries  *backoff.Backoff
 	avoid  map[string]float64 // by address: until when it asked not to be tried
 	target Relay
 }
@@ -62,6 +64,7 @@
 // NewSelector makes a selector over some relays.
 func NewSelector(relays []Relay, place Place, seed uint64) *Selector {
 	s := &Selector{rng: rand.New(rand.NewPCG(seed, 5)), place: place, avoid: map[string]float64{}}
+	s.tries = backoff.New(firstBackoff, maxBackoff, s.rng)
 	s.order = slices.Clone(relays)
 	s.rng.Shuffle(len(s.order), func(i, j int) { s.order[i], s.order[j] = s.order[j], s.order[i] })
 	slices.SortStableFunc(s.order, func(a, b Relay) int { return s.distance(a) - s.distance(b) })
@@ -101,14 +104,7 @@
 }
 
 // Failed tells that the relay was not reached, or left; the next try is due after the wait that it returns.
-func (s *Selector) Failed() (wait float64) {
-	span := firstBackoff
-	for range min(s.fails, 8) {
-		span = min(span*2, maxBackoff)
-	}
-	s.fails++
-	return span * s.rng.Float64()
-}
+func (s *Selector) Failed() (wait float64) { return s.tries.Next() }
 
 // Refused tells that the relay asked not to be tried for a while, and which others it named, by name or address; the first of
 // them that is not to be avoided itself is tried next.
@@ -126,7 +122,8 @@
 
 // Served tells that the relay serves. The wait is how long it is kept where it is not of the own zone; 0: as long as it lasts.
 func (s *Selector) Served() (keepFor float64) {
-	s.fails, s.next = 0, 0
+	s.next = 0
+	s.tries.Reset()
 	clear(s.avoid)
 	if s.distance(s.target) == 0 || len(s.order) == 0 || s.distance(s.order[0]) == s.distance(s.target) {
 		return 0
--- a/internal/duty/grantor.go
+++ b/internal/duty/grantor.go
@@ -8,7 +8,7 @@
 	"strings"
 )
 
-// Heartbeat is what an order server says in one message: what it renews, gives back and stands for. A beat may come late,
+// Heartbeat is what an order server says in one message: what it renews, gives back and stands for. A heartbeat may come late,
 // twice or never.
 type Heartbeat struct {
 	From   string   `json:"from"` // the process: its name and incarnation
@@ -27,10 +27,10 @@
 	Yield bool    `json:"y,omitempty"` // an operator wants it given up
 }
 
-// HeartbeatReply is the answer to a beat. It is sent only once an entry of the log, written after the beat came, was agreed on:
+// HeartbeatReply is the answer to a heartbeat. It is sent only once an entry of the log, written after the heartbeat came, was agreed on:
 // only that proves that no other copy led by then.
 type HeartbeatReply struct {
-	No    uint64    `json:"no"`    // the latest beat that is answered
+	No    uint64    `json:"no"`    // the latest heartbeat that is answered
 	Index uint64    `json:"index"` // the position of the log as of which it holds
 	Holds []Grantee `json:"holds,omitempty"`
 }
@@ -41,7 +41,7 @@
 	PlantHastyLeader  = "hasty-leader"        // a new leader counts no earlier leader's grants as renewed
 	PlantUnfenced     = "unfenced"            // the epoch of an act is not looked at
 	PlantEarlyGrowth  = "early-growth"        // a share grows before the others have shrunk
-	PlantUnproven     = "unproven"            // a beat is answered without an entry of the log that proves the leadership
+	PlantUnproven     = "unproven"            // a heartbeat is answered without an entry of the log that proves the leadership
 )
 
 // Plants are all of them.
@@ -102,7 +102,7 @@
 // Term is the term of this copy's office; 0: it never led.
 func (g *Grantor) Term() uint64 { return g.term }
 
-// Take books a beat and returns what it gives back. It answers nothing: HeartbeatReply does, once that is proven.
+// Take books a heartbeat and returns what it gives back. It answers nothing: HeartbeatReply does, once that is proven.
 func (g *Grantor) Take(now float64, b Heartbeat, t *Table) []Order {
 	var out []Order
 	for _, r := range b.Gives {
@@ -111,9 +111,7 @@
 			g.asked[r.Name] = true
 		}
 	}
-	for _, of := range g.stands {
-		delete(of, b.From)
-	}
+	g.forgetStands(b.From)
 	for _, name := range b.Stands {
 		if !g.Known(name) && name != PresenceOf(b.From) {
 			continue
@@ -124,7 +122,7 @@
 		g.stands[name][b.From] = stand{at: now, cold: b.Cold}
 	}
 	// What it holds and does not name counts as heard for a while: the answer will name it, and then it counts its time
-	// from this beat. Past that it is neither heard nor named in an answer. Guards against a server that is heard and
+	// from this heartbeat. Past that it is neither heard nor named in an answer. Guards against a server that is heard and
 	// hears nothing, which would keep for good what it does not know of.
 	for _, name := range t.HeldBy(b.From) {
 		l := t.Leases[name]
@@ -139,6 +137,15 @@
 	return out
 }
 
+// forgetStands forgets for what a process stood. Only its own presence can have been among that beside duties, so the presences
+// of others, of which there are as many as servers that come at once, are not walked.
+func (g *Grantor) forgetStands(who string) {
+	for _, d := range g.Duties {
+		delete(g.stands[d.Name], who)
+	}
+	delete(g.stands, PresenceOf(who))
+}
+
 // grantedAt is when a lease was granted, or for all that is known when this office began.
 func (g *Grantor) grantedAt(name string, epoch uint64) float64 {
 	if at := g.given[name]; at.epoch == epoch {
@@ -153,9 +160,14 @@
 	}
 }
 
-// Tick finds whose time is up and whom to grant what nobody holds.
+// MaxOrders bounds the orders that Tick returns at once. A fleet that comes or goes as one is taken in several steps, so that no
+// entry of the log is long in the writing, and none over the most bytes of a write.
+const MaxOrders = 512
+
+// Tick finds whose time is up and whom to grant what nobody holds. What is over MaxOrders is left for the next.
 func (g *Grantor) Tick(now float64, t *Table) []Order {
-	return append(g.lapses(now, t), g.grants(now, t)...)
+	out := g.lapses(now, t)
+	return append(out, g.grants(now, t, MaxOrders-len(out))...)
 }
 
 // lapses finds the leases whose time is up. To hear a holder only puts its end off, so all leases are walked no more often
@@ -174,6 +186,10 @@
 			g.earliest = min(g.earliest, end)
 			continue
 		}
+		if len(out) == MaxOrders {
+			g.earliest = now
+			break
+		}
 		out = append(out, Order{Kind: Lapse, Name: name, Holder: l.Holder, Epoch: l.Epoch, Term: g.term})
 		g.asked[name] = true
 	}
@@ -181,11 +197,14 @@
 	return out
 }
 
-// grants finds whom to grant what nobody holds.
-func (g *Grantor) grants(now float64, t *Table) (out []Order) {
+// grants finds whom to grant what nobody holds, so many at most.
+func (g *Grantor) grants(now float64, t *Table, most int) (out []Order) {
 	load := map[string]int{}           // duties that are granted in this turn, by process
 	present, counted := -1, g.Most > 0 // the count matters only where it is bounded and somebody wants in
 	for _, name := range slices.Sorted(maps.Keys(g.stands)) {
+		if len(out) >= most {
+			break
+		}
 		g.fade(name, now)
 		l := t.Leases[name]
 		if l != nil && l.Holder != "" {
@@ -232,7 +251,7 @@
 	return g.since
 }
 
-// fade forgets those that have not said for some beats that they stand.
+// fade forgets those that have not said for some heartbeats that they stand.
 func (g *Grantor) fade(name string, now float64) {
 	for who, s := range g.stands[name] {
 		if now > s.at+(bearLost+1)*g.Renew*(1+g.Rate) {
@@ -293,7 +312,7 @@
 }
 
 // Done tells that an order was carried out or refused. A grant counts as heard now: what its holder may count from is
-// a beat that came before.
+// a heartbeat that came before.
 func (g *Grantor) Done(now float64, o Order, t *Table) {
 	if o.Term != g.term {
 		return
--- a/internal/duty/machine.go
+++ b/internal/duty/machine.go
@@ -31,7 +31,7 @@
 type Action any
 
 type (
-	// Send is a beat for the copy that leads.
+	// Send is a heartbeat for the copy that leads.
 	Send struct{ Heartbeat Heartbeat }
 	// Gained tells that the process holds a duty until a time of its own clock.
 	Gained struct {
@@ -59,7 +59,7 @@
 	Behind struct{ Index, Seen uint64 }
 )
 
-const keptBeats = 32 // beats whose sending times are kept; an answer to an older one counts for nothing
+const keptHeartbeats = 32 // heartbeats whose sending times are kept; an answer to an older one counts for nothing
 
 type holding struct {
 	ref   Ref
@@ -76,17 +76,17 @@
 	spread func() float64 // 0 to 1, by the seed
 	mode   Mode
 	no     uint64
-	sent   [keptBeats]struct {
+	sent   [keptHeartbeats]struct {
 		no uint64
 		at float64
 	}
-	seen   uint64
-	held   map[string]*holding
-	past   map[string]uint64  // the highest epoch of a lease that this process is done with
-	gives  map[string]Ref     // given back, until an answer shows that it is gone
-	cool   map[string]float64 // until when it does not stand
-	beatAt float64
-	leave  bool
+	seen        uint64
+	held        map[string]*holding
+	past        map[string]uint64  // the highest epoch of a lease that this process is done with
+	gives       map[string]Ref     // given back, until an answer shows that it is gone
+	cool        map[string]float64 // until when it does not stand
+	heartbeatAt float64
+	leave       bool
 }
 
 // NewMachine makes a machine that stands for all duties of the rules, and for its presence where that is kept.
@@ -95,26 +95,26 @@
 		past: map[string]uint64{}, gives: map[string]Ref{}, cool: map[string]float64{}}
 }
 
-// Tick looks at the time: what has run out ends, and a beat that is due goes out.
+// Tick looks at the time: what has run out ends, and a heartbeat that is due goes out.
 func (m *Machine) Tick(now float64) []Action {
 	out := m.expire(now)
-	if now >= m.beatAt {
-		out = append(out, m.beat(now))
+	if now >= m.heartbeatAt {
+		out = append(out, m.heartbeat(now))
 	}
 	return out
 }
 
 // Next is when Tick has to be called again, at the latest.
 func (m *Machine) Next() float64 {
-	at := m.beatAt
+	at := m.heartbeatAt
 	for _, h := range m.held {
 		at = min(at, h.until)
 	}
 	return at
 }
 
-// Hurry makes the next Tick send a beat: a connection is new, or something changed.
-func (m *Machine) Hurry() { m.beatAt = 0 }
+// Hurry makes the next Tick send a heartbeat: a connection is new, or something changed.
+func (m *Machine) Hurry() { m.heartbeatAt = 0 }
 
 func (m *Machine) expire(now float64) (out []Action) {
 	for _, name := range slices.Sorted(maps.Keys(m.held)) {
@@ -138,15 +138,15 @@
 	if PresentWho(name) == "" {
 		m.cool[name] = now + m.Cool
 	}
-	m.beatAt = now
+	m.heartbeatAt = now
 	return Ended{h.ref, cause}
 }
 
-func (m *Machine) beat(now float64) Action {
-	// Spread, so that a fleet that started as one does not beat as one.
-	m.beatAt = now + m.Renew*(0.7+0.3*m.spread())
+func (m *Machine) heartbeat(now float64) Action {
+	// Spread, so that a fleet that started as one does not heartbeat as one.
+	m.heartbeatAt = now + m.Renew*(0.7+0.3*m.spread())
 	m.no++
-	m.sent[m.no%keptBeats].no, m.sent[m.no%keptBeats].at = m.no, now
+	m.sent[m.no%keptHeartbeats].no, m.sent[m.no%keptHeartbeats].at = m.no, now
 	b := Heartbeat{From: m.Me, No: m.no, Seen: m.seen, Cold: m.mode == Cold}
 	for _, name := range slices.Sorted(maps.Keys(m.held)) {
 		b.Renews = append(b.Renews, m.held[name].ref)
@@ -167,7 +167,7 @@
 	return Send{b}
 }
 
-// HeartbeatReply takes an answer in.
+// HandleReply takes an answer in.
 func (m *Machine) HandleReply(now float64, t HeartbeatReply) []Action {
 	out := m.expire(now)
 	if t.Index < m.seen {
@@ -175,9 +175,9 @@
 		return append(out, Behind{t.Index, m.seen})
 	}
 	m.seen = t.Index
-	s := m.sent[t.No%keptBeats]
+	s := m.sent[t.No%keptHeartbeats]
 	if s.no != t.No || t.No == 0 {
-		return out // of a beat that is long past: nothing tells when it was sent
+		return out // of a heartbeat that is long past: nothing tells when it was sent
 	}
 	from := s.at
 	if m.Plant == PlantLateDeadline {
@@ -215,7 +215,7 @@
 			}
 		case !m.wants(name, now) || g.Epoch <= m.past[name]:
 			m.gives[name] = g.Ref
-			m.beatAt = now
+			m.heartbeatAt = now
 		case until > now:
 			h = &holding{ref: g.Ref, until: until}
 			m.held[name] = h
@@ -244,7 +244,7 @@
 	return []Action{Yields{h.ref, cause}}
 }
 
-// Quiet tells that no act is under way any more under a grant that yields; it is given back with the next beat.
+// Quiet tells that no act is under way any more under a grant that yields; it is given back with the next heartbeat.
 func (m *Machine) Quiet(now float64, r Ref) []Action {
 	h := m.held[r.Name]
 	if h == nil || h.ref != r || h.cause == "" {
@@ -258,7 +258,7 @@
 	if m.mode == Draining || m.mode == mode {
 		return nil
 	}
-	m.mode, m.beatAt = mode, now
+	m.mode, m.heartbeatAt = mode, now
 	if mode == Warm || mode == Cold {
 		return nil
 	}
@@ -280,7 +280,7 @@
 	for _, name := range slices.Sorted(maps.Keys(m.held)) {
 		out = append(out, m.end(now, m.held[name], CauseDrain))
 	}
-	return append(out, m.beat(now))
+	return append(out, m.heartbeat(now))
 }
 
 // May tells whether an act under a duty may begin now, and under which epoch.
--- a/internal/duty/terms.go
+++ b/internal/duty/terms.go
@@ -26,7 +26,7 @@
 // Rules are all that both sides have to agree on.
 type Rules struct {
 	Bounds
-	Renew    float64 // ms between two beats of an order server, at most
+	Renew    float64 // ms between two heartbeats of an order server, at most
 	Cool     float64 // ms for which a server does not stand for a duty that it gave up or lost
 	ColdWait float64 // ms for which a duty stays without a holder where only cold servers stand
 	Duties   []Terms
--- a/internal/net/session/client.go
+++ b/internal/net/session/client.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"maps"
 	"math/rand/v2"
@@ -15,6 +16,7 @@
 	"github.com/rs/zerolog"
 
 	"puffinsaddle/internal/allot"
+	"puffinsaddle/internal/backoff"
 	"puffinsaddle/internal/clock"
 	"puffinsaddle/internal/duty"
 	"puffinsaddle/internal/frame"
@@ -26,11 +28,11 @@
 
 const (
 	dialFor    = time.Second
-	seekLeast  = 20.0  // ms between two copies that are tried, at least,
-	seekMost   = 400.0 // and at most; in between by chance, lest a fleet comes back as one
-	answerFor  = 3.0   // renewals without an answer after which another copy is tried
-	endedEvery = 50.0  // ms; ends of effects that come within it go as one command
-	mostEnded  = 256   // of them in one
+	firstRetry = 0.2  // renewals within which another copy is tried after the first failure,
+	maxRetry   = 2.0  // and after the last; so a server finds the copy that leads before its presence ends
+	answerFor  = 3.0  // renewals without an answer after which another copy is tried
+	endedEvery = 50.0 // ms; ends of effects that come within it go as one command
+	mostEnded  = 256  // of them in one
 	mostEnds   = 1 << 14
 	commandFor = 3000.0 // ms that a command waits for its answer
 )
@@ -112,24 +114,51 @@
 func (c *Client) Run(ctx context.Context) {
 	go c.events(ctx)
 	c.mu.Lock()
-	c.turn()
+	c.step()
 	c.mu.Unlock()
-	rng := rand.New(rand.NewPCG(c.o.Seed, 2))
+	retry := backoff.New(firstRetry*c.o.Rules.Renew, maxRetry*c.o.Rules.Renew, rand.New(rand.NewPCG(c.o.Seed, 2)))
 	for ctx.Err() == nil {
+		var err error
 		if at := c.seek(); at != "" {
-			conn, err := c.o.Dial(ctx, at)
-			if err == nil {
-				err = c.hold(ctx, conn)
-			}
+			err = c.try(ctx, at)
 			c.o.Log.Debug().Err(err).Str("at", at).Msg("session over")
 		}
-		wait := make(chan struct{})
-		t := c.o.Steady.After(seekLeast+(seekMost-seekLeast)*rng.Float64()*rng.Float64(), func() { close(wait) })
-		select {
-		case <-ctx.Done():
-			t.Stop()
-		case <-wait:
+		if c.wasServed() {
+			retry.Reset()
 		}
+		wait := retry.Next()
+		if full := (*fullError)(nil); errors.As(err, &full) {
+			wait += full.retryMs
+		}
+		c.pause(ctx, wait)
+	}
+}
+
+// try opens a session with a copy and holds it to its end.
+func (c *Client) try(ctx context.Context, at string) error {
+	conn, err := c.o.Dial(ctx, at)
+	if err != nil {
+		return err
+	}
+	return c.hold(ctx, conn)
+}
+
+// wasServed tells whether the last session had an answer, and forgets it.
+func (c *Client) wasServed() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	served := c.led
+	c.led = false
+	return served
+}
+
+func (c *Client) pause(ctx context.Context, ms float64) {
+	due := make(chan struct{})
+	t := c.o.Steady.After(ms, func() { close(due) })
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-due:
 	}
 }
 
@@ -179,7 +208,7 @@
 	c.mu.Lock()
 	c.line, c.conn, c.since, c.led = l, conn, c.o.Steady.Now(), false
 	c.m.Hurry()
-	c.turn()
+	c.step()
 	c.mu.Unlock()
 	defer func() {
 		c.mu.Lock()
@@ -213,6 +242,9 @@
 		}
 		return fmt.Errorf("session: %q leads", *m.Else)
 	}
+	if m.RetryMs > 0 {
+		return &fullError{m.RetryMs}
+	}
 	if m.Reply != nil {
 		now := c.o.Steady.Now()
 		c.since = now
@@ -232,7 +264,7 @@
 				c.on.Put(Published{m.Version})
 			}
 		}
-		c.turn()
+		c.step()
 		return nil
 	}
 	if w := c.waits[m.No]; w != nil {
@@ -244,8 +276,8 @@
 	return nil
 }
 
-// turn lets the machine look at the time, and comes back when it has to again. The lock is held.
-func (c *Client) turn() {
+// step lets the machine look at the time, and comes back when it has to again. The lock is held.
+func (c *Client) step() {
 	now := c.o.Steady.Now()
 	c.do(c.m.Tick(now))
 	if c.conn != nil && now > c.since+answerFor*c.o.Rules.Renew {
@@ -257,7 +289,7 @@
 	c.timer = c.o.Steady.After(max(c.m.Next()-now, 1), func() {
 		c.mu.Lock()
 		defer c.mu.Unlock()
-		c.turn()
+		c.step()
 	})
 }
 
@@ -290,7 +322,7 @@
 	if version == c.mine.Version {
 		c.used = version
 		c.m.Hurry()
-		c.turn()
+		c.step()
 	}
 }
 
@@ -319,7 +351,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.do(c.m.Quiet(c.o.Steady.Now(), r))
-	c.turn()
+	c.step()
 }
 
 // Switch puts the server into a mode.
@@ -327,7 +359,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.do(c.m.Switch(c.o.Steady.Now(), mode))
-	c.turn()
+	c.step()
 }
 
 // Leave gives back all that is held, at the end of the process.
--- a/internal/net/session/wire.go
+++ b/internal/net/session/wire.go
@@ -5,6 +5,7 @@
 import (
 	"encoding/json"
 	"errors"
+	"fmt"
 	"net"
 	"time"
 
@@ -29,8 +30,8 @@
 // toCopy is a message of an order server. One of its parts is set.
 type toCopy struct {
 	Heartbeat *duty.Heartbeat `json:"beat,omitempty"`
-	Ack       uint64          `json:"ack,omitempty"`  // with a beat: the version of the share that is in use
-	Need      int64           `json:"need,omitempty"` // with a beat: what it could use beyond its part for being alone
+	Ack       uint64          `json:"ack,omitempty"`  // with a heartbeat: the version of the share that is in use
+	Need      int64           `json:"need,omitempty"` // with a heartbeat: what it could use beyond its part for being alone
 	No        uint64          `json:"no,omitempty"`   // of a command or a question
 	Do        *state.Command  `json:"do,omitempty"`
 	Read      string          `json:"read,omitempty"`
@@ -39,14 +40,23 @@
 // toServer is a message of a copy. One of its parts is set.
 type toServer struct {
 	Reply   *duty.HeartbeatReply `json:"told,omitempty"`
-	Share   *allot.Share         `json:"share,omitempty"`   // with told
-	Version uint64               `json:"version,omitempty"` // with told: the latest published
-	Refused uint64               `json:"refused,omitempty"` // with told: acts of this server's duties refused for their epoch
+	Share   *allot.Share         `json:"share,omitempty"`   // with a reply
+	Version uint64               `json:"version,omitempty"` // with a reply: the latest published
+	Refused uint64               `json:"refused,omitempty"` // with a reply: acts of this server's duties refused for their epoch
 	No      uint64               `json:"no,omitempty"`
 	Result  *state.Result        `json:"result,omitempty"`
 	Body    json.RawMessage      `json:"body,omitempty"` // the answer to a question
 	Error   string               `json:"error,omitempty"`
-	Else    *string              `json:"else,omitempty"` // the id of the copy that leads, as far as this one knows
+	Else    *string              `json:"else,omitempty"`     // the id of the copy that leads, as far as this one knows
+	RetryMs float64              `json:"retry_ms,omitempty"` // the copy is full: it may be asked again then
+}
+
+// fullError tells that a copy serves as many sessions as it may.
+type fullError struct{ retryMs float64 }
+
+// Error tells when to come back.
+func (e *fullError) Error() string {
+	return fmt.Sprintf("session: the copy is full; it may be asked again in %.0f ms", e.retryMs)
 }
 
 // Questions.
