Test that Ctrl-C ends every process of a scale run

Cause: that was seen by hand only. Change: a small run is interrupted once its servers have their records; the test fails where it says nothing, ends with another status than 1, or leaves a process behind.

--- a/internal/lab/scale/scale_test.go
+++ b/internal/lab/scale/scale_test.go
@@ -1,6 +1,7 @@
 package scale
 
 import (
+	"bufio"
 	"bytes"
 	"encoding/json"
 	"errors"
@@ -125,11 +126,66 @@
 	return binary
 }
 
+// small is the command line of a small run.
+func small(t *testing.T, args ...string) []string {
+	return append([]string{"lab", "scale", "--servers", "20", "--zones", "4", "--regions", "2", "--real", "2", "--routes", "300", "--tenants", "900", "--for", "4s", "--out", t.TempDir()}, args...)
+}
+
+// processesOf lists the processes that run a program.
+func processesOf(t *testing.T, binary string) (pids []string) {
+	t.Helper()
+	links, err := filepath.Glob("/proc/[0-9]*/exe")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, link := range links {
+		if target, err := os.Readlink(link); err == nil && target == binary {
+			pids = append(pids, filepath.Base(filepath.Dir(link)))
+		}
+	}
+	return pids
+}
+
+// Ctrl-C in the middle of a run ends it, with a word on why, and every process that it began.
+func TestInterruptEndsAllProcesses(t *testing.T) {
+	const patience = time.Minute
+	binary := build(t)
+	cmd := exec.Command(binary, small(t, "--for", "60s")...)
+	out, err := cmd.StdoutPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	var errs bytes.Buffer
+	cmd.Stderr = &errs
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	late := time.AfterFunc(patience, func() { cmd.Process.Kill() })
+	defer late.Stop()
+	began := false
+	for lines := bufio.NewScanner(out); lines.Scan(); {
+		if strings.Contains(lines.Text(), "have them from snapshots") {
+			began = true
+			if n := len(processesOf(t, binary)); n < 10 {
+				t.Errorf("%d processes run", n)
+			}
+			cmd.Process.Signal(os.Interrupt)
+		}
+	}
+	err = cmd.Wait()
+	var exit *exec.ExitError
+	if !began || !errors.As(err, &exit) || exit.ExitCode() != 1 || !strings.Contains(errs.String(), "ended before its time") {
+		t.Errorf("began %v; %v; %s", began, err, errs.String())
+	}
+	if left := processesOf(t, binary); len(left) > 0 {
+		t.Errorf("left behind: %v", left)
+	}
+}
+
 // played is a small run's status and result.
 func played(t *testing.T, binary string, args ...string) (status int, r Result, text string) {
 	t.Helper()
-	small := []string{"lab", "scale", "--servers", "20", "--zones", "4", "--regions", "2", "--real", "2", "--routes", "300", "--tenants", "900", "--for", "4s", "--out", t.TempDir()}
-	cmd := exec.Command(binary, append(small, args...)...)
+	cmd := exec.Command(binary, small(t, args...)...)
 	out, err := cmd.CombinedOutput()
 	var exit *exec.ExitError
 	if err != nil && !errors.As(err, &exit) {
