Pack commits on the wire and on disks, and tell what each region uses

Change: records.AppendCommit and ParseCommit, on the wire and in files; config status and relay.region, by region with age and silence, from reports that outlive their relay; a Replica reports settings that do not fit; an unknown kind in a change is named with its place.

--- a/cmd/puffinsaddle/command.go
+++ b/cmd/puffinsaddle/command.go
@@ -79,8 +79,9 @@
 		Off  bool   `help:"Let it be held again."`
 	}
 	configCmd struct {
-		Check  checkCmd  `cmd:"" help:"Read and check files as a start would; nothing is started."`
-		Change changeCmd `cmd:"" help:"Change records, whole or not at all."`
+		Check  checkCmd        `cmd:"" help:"Read and check files as a start would; nothing is started."`
+		Change changeCmd       `cmd:"" help:"Change records, whole or not at all."`
+		Status configStatusCmd `cmd:"" help:"Tell what each region uses, and how old that is."`
 	}
 	checkCmd struct {
 		Config   string `env:"RELAY_CONFIG" help:"The platform's file."`
--- a/cmd/puffinsaddle/crowd_test.go
+++ b/cmd/puffinsaddle/crowd_test.go
@@ -25,6 +25,9 @@
 
 func TestMain(m *testing.M) {
 	if os.Getenv(asProcess) != "" {
+		if len(os.Args) > 1 {
+			os.Exit(command(os.Args[1:], os.Stdout, os.Stderr))
+		}
 		os.Exit(serve())
 	}
 	os.Exit(m.Run())
@@ -36,6 +39,8 @@
 	path     string
 	listen   string
 	operator string
+	args     []string // of a command; none: it serves
+	env      []string // more of it
 	cmd      *exec.Cmd
 	log      *lockedBuffer
 }
@@ -96,8 +101,8 @@
 	if err != nil {
 		c.t.Fatal(err)
 	}
-	c.cmd = exec.Command("sh", "-c", fmt.Sprintf("ulimit -n %d && exec %s", descriptors, self))
-	c.cmd.Env = []string{asProcess + "=1", "RELAY_CONFIG=" + c.path}
+	c.cmd = exec.Command("sh", append([]string{"-c", fmt.Sprintf(`ulimit -n %d && exec "$0" "$@"`, descriptors), self}, c.args...)...)
+	c.cmd.Env = append([]string{asProcess + "=1", "RELAY_CONFIG=" + c.path}, c.env...)
 	c.cmd.Stdout, c.cmd.Stderr = c.log, c.log
 	if err := c.cmd.Start(); err != nil {
 		c.t.Fatal(err)
--- a/cmd/puffinsaddle/duties.go
+++ b/cmd/puffinsaddle/duties.go
@@ -136,6 +136,7 @@
 	h.origin.Agreed = func(c records.Commit) {
 		h.trace.Add(trace.Event{What: trace.Agreed, N: c.Revision, Text: c.After.String()}, 0)
 	}
+	h.sessions.ConfigStatus = h.origin.Status
 	copy.ServeWatches(h.origin.Serve)
 	go h.origin.Run(ctx)
 	go h.sessions.Run(ctx)
--- a/cmd/puffinsaddle/records.go
+++ b/cmd/puffinsaddle/records.go
@@ -14,6 +14,7 @@
 	"slices"
 	"strings"
 	"syscall"
+	"text/tabwriter"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -128,7 +129,7 @@
 }
 
 // use puts settings into force, all together. Settings that do not fit together leave those before in force.
-func (w *watch) use(changed map[string][]byte) {
+func (w *watch) use(changed map[string][]byte) error {
 	for name, value := range changed {
 		if value == nil {
 			delete(w.settings, name)
@@ -138,12 +139,12 @@
 	}
 	list, err := servers(settingFiles(w.settings))
 	if err != nil {
-		w.log.Error().Err(err).Msg("settings not taken; those before stay in force")
-		return
+		return err
 	}
 	if w.farm != nil && len(list) > 0 {
 		w.farm.Move(list)
 	}
+	return nil
 }
 
 func (w *watch) run(ctx context.Context) {
@@ -208,7 +209,7 @@
 	}
 	limits := distribution.DefaultLimits
 	limits.Watchers, limits.Snapshots = set.Watchers, set.Snapshots
-	r, err := relay.Open(relay.Options{Name: set.Name, Listen: set.Listen, Copies: set.Copies, Elsewhere: set.Elsewhere, Path: set.Path, Limits: limits,
+	r, err := relay.Open(relay.Options{Name: set.Name, Region: set.Region, Listen: set.Listen, Copies: set.Copies, Elsewhere: set.Elsewhere, Path: set.Path, Limits: limits,
 		Seed: seedOf(set.Name), Steady: steady, Log: log, Plant: file.Lab.Plant,
 		Committed: func(c records.Commit) {
 			t.Add(trace.Event{What: trace.InForce, Index: c.Revision, N: c.Revision, Text: c.After.String()}, 0)
@@ -258,11 +259,26 @@
 type changeFile struct {
 	Base uint64 `json:"base"`
 	Puts []struct {
-		records.Key
+		fileKey
 		Value json.RawMessage `json:"value"`
 		Text  *string         `json:"text"`
 	} `json:"puts"`
-	Deletes []records.Key `json:"deletes"`
+	Deletes []fileKey `json:"deletes"`
+}
+
+// fileKey is a key as operators write it.
+type fileKey struct {
+	Kind string `json:"kind"`
+	Name string `json:"name"`
+}
+
+// key is the record's, or an error that names the kind that there is not.
+func (k fileKey) key() (records.Key, error) {
+	var kind records.Kind
+	if err := kind.UnmarshalText([]byte(k.Kind)); err != nil || kind.MaxValue() == 0 {
+		return records.Key{}, fmt.Errorf("%w %q; there are %s, %s and %s", records.ErrKind, k.Kind, records.Route, records.Tenant, records.Setting)
+	}
+	return records.Key{Kind: kind, Name: k.Name}, nil
 }
 
 func readChange(path string) (c records.Change, err error) {
@@ -277,17 +293,27 @@
 	if err := d.Decode(&file); err != nil {
 		return c, fmt.Errorf("%s: %w", path, err)
 	}
-	c = records.Change{Base: file.Base, Deletes: file.Deletes}
+	c = records.Change{Base: file.Base}
 	for i, p := range file.Puts {
+		k, err := p.key()
 		switch {
+		case err != nil:
+			return c, fmt.Errorf("%s: puts[%d]: %w", path, i, err)
 		case (p.Text == nil) == (p.Value == nil):
-			return c, fmt.Errorf("%s: puts[%d]: %s needs either value or text", path, i, p.Key)
+			return c, fmt.Errorf("%s: puts[%d]: %s needs either value or text", path, i, k)
 		case p.Text != nil:
-			c.Puts = append(c.Puts, records.Put{Key: p.Key, Value: []byte(*p.Text)})
+			c.Puts = append(c.Puts, records.Put{Key: k, Value: []byte(*p.Text)})
 		default:
-			c.Puts = append(c.Puts, records.Put{Key: p.Key, Value: p.Value})
+			c.Puts = append(c.Puts, records.Put{Key: k, Value: p.Value})
 		}
 	}
+	for i, d := range file.Deletes {
+		k, err := d.key()
+		if err != nil {
+			return c, fmt.Errorf("%s: deletes[%d]: %w", path, i, err)
+		}
+		c.Deletes = append(c.Deletes, k)
+	}
 	if err := c.Check(); err != nil {
 		return c, fmt.Errorf("%s: %w", path, err)
 	}
@@ -311,3 +337,42 @@
 		return c.told(out, map[string]uint64{"revision": r.N}, fmt.Sprintf("revision %d", r.N))
 	})
 }
+
+// configStatusCmd tells how far each region is.
+type configStatusCmd struct{ with }
+
+// Run asks the copy that leads.
+func (c *configStatusCmd) Run(out io.Writer) error {
+	return c.talk(func(ctx context.Context, client *session.Client, _ config.Duties) error {
+		var s distribution.Status
+		if err := client.Read(ctx, session.ReadConfig, &s); err != nil {
+			return session.ErrNotSent // to ask again changes nothing
+		}
+		if c.JSON {
+			return json.NewEncoder(out).Encode(s)
+		}
+		return showConfigStatus(out, s)
+	})
+}
+
+func showConfigStatus(out io.Writer, s distribution.Status) error {
+	fmt.Fprintf(out, "the latest revision is %d\n", s.Revision)
+	t := tabwriter.NewWriter(out, 2, 8, 2, ' ', 0)
+	fmt.Fprintln(t, "REGION\tRELAYS\tLOST\tSERVERS\tLOWEST\tAT\tBEHIND\tAGE\tREFUSING\tSILENT")
+	for _, r := range s.Regions {
+		fmt.Fprintf(t, "%s\t%d\t%d\t%d\t%d\t%s\t%d\t%s\t%d\t%s\n", orDash(r.Region), r.Relays, r.Lost, r.Servers, r.Lowest, orDash(r.LowestName), r.Behind,
+			seconds(r.AgeMs), r.Rejecting, seconds(r.SilentMs))
+	}
+	if err := t.Flush(); err != nil {
+		return err
+	}
+	for _, r := range s.Regions {
+		for _, j := range r.Rejections {
+			fmt.Fprintf(out, "%s refuses %s of revision %d: %s\n", j.Server, j.Key, j.Revision, j.Reason)
+		}
+	}
+	return nil
+}
+
+// seconds writes a span of milliseconds for people.
+func seconds(ms float64) string { return clock.Duration(ms).Round(100 * time.Millisecond).String() }
--- /dev/null
+++ b/cmd/puffinsaddle/records_test.go
@@ -0,0 +1,173 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"puffinsaddle/internal/distribution"
+)
+
+// recordsFleet is three copies of the store, a relay and an order server that follows the records, as processes.
+type recordsFleet struct {
+	t        *testing.T
+	operator string // a file by which commands reach the copies
+	server   *child
+}
+
+func yamlFile(t *testing.T, text string) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "operator.yaml")
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
+// startRecordsFleet starts all, and waits until the order server watches.
+func startRecordsFleet(t *testing.T) *recordsFleet {
+	t.Helper()
+	const descriptors = 1024
+	members := membersPeer(t).LocalAddr().String()
+	start := func(name, operator string) *child {
+		c := newChild(t)
+		c.env = []string{"RELAY_NAME=" + name, "PUFFINSADDLE_OPERATOR=" + yamlFile(t, operator)}
+		c.write(running(t, 0), members, descriptors)
+		c.start(descriptors)
+		return c
+	}
+	at := map[string]string{"c1": freePort(t), "c2": freePort(t), "c3": freePort(t)}
+	copies := fmt.Sprintf("{c1: %q, c2: %q, c3: %q}", at["c1"], at["c2"], at["c3"])
+	duties := "duties: {copies: " + copies + "}\n"
+	for id, address := range at {
+		start(id, fmt.Sprintf("%sstore: {id: %s, listen: %q, dir: %q, peers: %s}\n", duties, id, address, t.TempDir(), copies))
+	}
+	relay := newChild(t)
+	relayAt := freePort(t)
+	relay.args = []string{"relay", "--operator", yamlFile(t, fmt.Sprintf("relay: {name: r1, region: east, listen: %q, copies: %s, figures: %q}\n", relayAt, copies, relay.operator))}
+	relay.start(descriptors)
+	f := &recordsFleet{t: t, operator: yamlFile(t, duties)}
+	f.server = start("s1", fmt.Sprintf("distribution: {zone: z, relays: [{name: r1, address: %q, zone: z}]}\n", relayAt))
+	f.server.until("it watches", func() bool { return f.records().Watching == relayAt })
+	return f
+}
+
+// recordFigures is what an order server tells of the records.
+type recordFigures struct {
+	Revision uint64 `json:"revision"`
+	Records  int    `json:"records"`
+	Watching string `json:"watching"`
+}
+
+func (f *recordsFleet) records() (r recordFigures) {
+	answer, err := asking.Get("http://" + f.server.operator + "/-/metrics")
+	if err != nil {
+		return r
+	}
+	defer answer.Body.Close()
+	var all struct {
+		Records recordFigures `json:"records"`
+	}
+	if answer.StatusCode != http.StatusOK || json.NewDecoder(io.LimitReader(answer.Body, 1<<20)).Decode(&all) != nil {
+		return r
+	}
+	return all.Records
+}
+
+// change runs the command config change with a file of this text.
+func (f *recordsFleet) change(text string) (status int, out, errs string) {
+	f.t.Helper()
+	path := filepath.Join(f.t.TempDir(), "change.json")
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		f.t.Fatal(err)
+	}
+	var o, e bytes.Buffer
+	status = command([]string{"config", "change", "--operator", f.operator, "--file", path}, &o, &e)
+	return status, strings.TrimSpace(o.String()), e.String()
+}
+
+// The status of the configuration lists the region with what its servers use, and nothing that is old.
+func (f *recordsFleet) wantStatus(revision uint64) {
+	f.t.Helper()
+	f.server.until("the status tells so", func() bool {
+		var out, errs bytes.Buffer
+		if status := command([]string{"config", "status", "--operator", f.operator, "--json"}, &out, &errs); status != good {
+			f.t.Fatalf("status %d: %s", status, errs.String())
+		}
+		var s distribution.Status
+		if err := json.Unmarshal(out.Bytes(), &s); err != nil {
+			f.t.Fatal(err)
+		}
+		if s.Revision != revision || len(s.Regions) != 1 || s.Regions[0].Region != "east" || s.Regions[0].Relays != 1 {
+			return false
+		}
+		r := s.Regions[0]
+		return r.Servers == 1 && r.Lowest == revision && r.LowestName == "s1" && r.Behind == 0 && r.AgeMs == 0
+	})
+	var out, errs bytes.Buffer
+	if status := command([]string{"config", "status", "--operator", f.operator}, &out, &errs); status != good || !strings.Contains(out.String(), "east") {
+		f.t.Errorf("status %d: %s %s", status, out.String(), errs.String())
+	}
+}
+
+// An operator's change reaches an order server through a relay, whole or not at all: what makes no sense is refused with its key
+// and the reason, and the revision stays.
+func TestChangesOfAnOperator(t *testing.T) {
+	f := startRecordsFleet(t)
+	const first = `{"puts":[{"kind":"tenant","name":"t-1","value":{"share":0.5,"limit":10}},
+		{"kind":"route","name":"svc-1/a","value":{"service":"svc-1","class":"book","group":"g","weight":1}},
+		{"kind":"setting","name":"operator.yaml","text":"uwsgi: {servers: ['127.0.0.1:3031']}\n"}]}`
+	const second = `{"base":1,"puts":[{"kind":"tenant","name":"t-1","value":{"share":0.4,"limit":10}}]}`
+	for i, text := range []string{first, second} {
+		if status, out, errs := f.change(text); status != good || out != fmt.Sprintf("revision %d", i+1) {
+			t.Fatalf("change %d: status %d, %q %q", i+1, status, out, errs)
+		}
+	}
+	f.server.until("it has both changes", func() bool { r := f.records(); return r.Revision == 2 && r.Records == 3 })
+	f.wantStatus(2)
+	tenant := `{"kind":"tenant","name":"t-2","value":{"share":0.1,"limit":1}}`
+	for _, c := range []struct {
+		text   string
+		status int
+		want   []string
+	}{
+		{`{"puts":[` + tenant + `,{"kind":"tenant","name":"t-3","value":{"share":2,"limit":1}}]}`, bad, []string{"tenant/t-3", "share must be from 0 to 1"}},
+		{`{"puts":[` + tenant + `,{"kind":"route","name":"svc-2/a","value":{"service":"svc-2","class":"book","group":"g"}}]}`, bad, []string{"route/svc-2/a", "weight must be above 0"}},
+		{`{"puts":[` + tenant + `,{"kind":"setting","name":"operator.yaml","text":"store: {listen: ':1'}\n"}]}`, bad, []string{"setting/operator.yaml", "rejected by the check"}},
+		{`{"puts":[` + tenant + `,{"kind":"setting","name":"motd","text":"x"}]}`, bad, []string{"setting/motd", "there are the settings"}},
+		{`{"base":1,"puts":[` + tenant + `,{"kind":"tenant","name":"t-1","value":{"share":0.3,"limit":10}}]}`, bad, []string{"tenant/t-1", "changed since the revision", "rests on 1"}},
+		{`{"base":7,"puts":[` + tenant + `]}`, bad, []string{"ahead of what is agreed on"}},
+		{`{"puts":[` + tenant + `,{"kind":"host","name":"h","value":1}]}`, wrong, []string{"puts[1]", `unknown kind of record "host"`}},
+		{`{"deletes":[{"kind":"","name":"h"}]}`, wrong, []string{"deletes[0]", `unknown kind of record ""`}},
+		{`{"puts":[` + tenant + `,` + tenant + `]}`, wrong, []string{"tenant/t-2", "twice"}},
+		{`{"puts":[{"kind":"tenant","name":"t-2","value":"` + strings.Repeat("x", 1100) + `"}]}`, wrong, []string{"tenant/t-2", "too large"}},
+		{`{"puts":[{"kind":"tenant","name":"t-2"}]}`, wrong, []string{"puts[0]", "needs either value or text"}},
+		{`{"puts":[],"extra":1}`, wrong, []string{"extra"}},
+		{`{}`, wrong, []string{"a change without keys"}},
+	} {
+		status, out, errs := f.change(c.text)
+		if status != c.status || out != "" {
+			t.Errorf("%.200s: status %d, %q", c.text, status, out)
+		}
+		for _, word := range c.want {
+			if !strings.Contains(errs, word) {
+				t.Errorf("%.200s: %q, %q is wanted", c.text, errs, word)
+			}
+		}
+	}
+	if status, out, errs := f.change(`{"deletes":[{"kind":"route","name":"svc-1/a"}]}`); status != good || out != "revision 3" {
+		t.Errorf("status %d, %q %q", status, out, errs)
+	}
+	f.server.until("it has the third change", func() bool { r := f.records(); return r.Revision == 3 && r.Records == 2 })
+	time.Sleep(settle)
+	if r := f.records(); r.Revision != 3 || r.Records != 2 {
+		t.Errorf("the server goes on to %+v though nothing was changed", r)
+	}
+}
--- a/internal/config/distribution.go
+++ b/internal/config/distribution.go
@@ -19,6 +19,7 @@
 // Relay sets up the command relay.
 type Relay struct {
 	Name      string            `yaml:"name"`
+	Region    string            `yaml:"region"` // where it stands, as operators see it
 	Listen    string            `yaml:"listen"`
 	Figures   string            `yaml:"figures"`   // an address that tells the relay's figures over HTTP; empty: none
 	Copies    map[string]string `yaml:"copies"`    // id and address of each copy of the store, as this relay reaches it
--- a/internal/frame/frame.go
+++ b/internal/frame/frame.go
@@ -1,5 +1,5 @@
 // Package frame is the one form of messages between processes of this program: a length of four bytes, the highest first,
-// and so many bytes of JSON. What is malformed, too large or too slow in coming is an error, after which the connection is of
+// and so many bytes, which are JSON unless both sides agree on another encoding. What is malformed, too large or too slow in coming is an error, after which the connection is of
 // no use.
 package frame
 
@@ -23,10 +23,15 @@
 	if err != nil {
 		return b, err
 	}
-	if len(text) > most {
-		return b, fmt.Errorf("frame: a message of %d bytes, %d at most", len(text), most)
+	return AppendBytes(b, text, most)
+}
+
+// AppendBytes writes a message whose content is encoded already behind what b holds; most bounds its bytes.
+func AppendBytes(b, content []byte, most int) ([]byte, error) {
+	if len(content) > most {
+		return b, fmt.Errorf("frame: a message of %d bytes, %d at most", len(content), most)
 	}
-	return append(binary.BigEndian.AppendUint32(b, uint32(len(text))), text...), nil
+	return append(binary.BigEndian.AppendUint32(b, uint32(len(content))), content...), nil
 }
 
 // Reader reads messages from a connection.
@@ -44,32 +49,46 @@
 
 // Next reads one message.
 func (r *Reader) Next(into any) error {
+	b, err := r.NextBytes()
+	if err != nil {
+		return err
+	}
+	return Decode(b, into)
+}
+
+// Decode reads the content of a message.
+func Decode(content []byte, into any) error {
+	if err := json.Unmarshal(content, into); err != nil {
+		return fmt.Errorf("frame: malformed: %w", err)
+	}
+	return nil
+}
+
+// NextBytes reads the content of one message, of whatever encoding.
+func (r *Reader) NextBytes() ([]byte, error) {
 	var until time.Time
 	if r.idle > 0 {
 		until = time.Now().Add(r.idle)
 	}
 	r.conn.SetReadDeadline(until)
 	if _, err := r.r.Peek(1); err != nil {
-		return err
+		return nil, err
 	}
 	r.conn.SetReadDeadline(time.Now().Add(Whole))
 	var head [4]byte
 	if _, err := io.ReadFull(r.r, head[:]); err != nil {
-		return err
+		return nil, err
 	}
 	n := int64(binary.BigEndian.Uint32(head[:]))
 	if n == 0 || n > int64(r.most) {
-		return fmt.Errorf("frame: a message of %d bytes, %d at most", n, r.most)
+		return nil, fmt.Errorf("frame: a message of %d bytes, %d at most", n, r.most)
 	}
 	// Read as it comes: a length alone must take no memory.
 	var b bytes.Buffer
 	if _, err := io.CopyN(&b, r.r, n); err != nil {
-		return err
-	}
-	if err := json.Unmarshal(b.Bytes(), into); err != nil {
-		return fmt.Errorf("frame: malformed: %w", err)
+		return nil, err
 	}
-	return nil
+	return b.Bytes(), nil
 }
 
 // Send writes one message.
--- a/internal/lab/scale/fleet.go
+++ b/internal/lab/scale/fleet.go
@@ -280,7 +280,7 @@
 		p.env = []string{labEnv, "PUFFINSADDLE_OPERATOR=" + filepath.Join(p.dir, "operator.yaml")}
 		p.before = func(p *process) error {
 			return writeYAML(filepath.Join(p.dir, "operator.yaml"), yamlMap{
-				"relay": yamlMap{"name": p.name, "listen": f.at[p.name], "figures": p.figures, "copies": reach, "elsewhere": elsewhere,
+				"relay": yamlMap{"name": p.name, "region": f.regions[p.zone], "listen": f.at[p.name], "figures": p.figures, "copies": reach, "elsewhere": elsewhere,
 					"path": filepath.Join(p.dir, "records"), "watchers": f.largest + 64, "snapshots": 4, "memory_mb": 256},
 				"lab": yamlMap{"trace": f.tracePath(p), "plant": f.Plant}})
 		}
--- a/internal/net/configwatch/client.go
+++ b/internal/net/configwatch/client.go
@@ -37,6 +37,7 @@
 type ClientOptions struct {
 	Name     string
 	Relay    bool   // the follower serves others
+	Region   string // of a relay
 	Preamble []byte // what a connection begins with: the copies of the store take others at the same address
 	Selector *distribution.Selector
 	Follower Follower
@@ -131,7 +132,7 @@
 			return err
 		}
 	}
-	w := Watch{Name: c.o.Name, At: c.o.Follower.Position(), Relay: c.o.Relay}
+	w := Watch{Name: c.o.Name, At: c.o.Follower.Position(), Relay: c.o.Relay, Region: c.o.Region}
 	if err := frame.Send(conn, toFeed{Watch: &w}, maxReport); err != nil {
 		return err
 	}
@@ -177,8 +178,12 @@
 	}()
 	r := frame.NewReader(s.conn, silentTimeout, maxMessage)
 	for {
-		var m toWatcher
-		if err := r.Next(&m); err != nil {
+		content, err := r.NextBytes()
+		if err != nil {
+			return err
+		}
+		m, err := decode(content)
+		if err != nil {
 			return err
 		}
 		if m.Refused != nil {
--- a/internal/net/configwatch/configwatch_test.go
+++ b/internal/net/configwatch/configwatch_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/binary"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -397,12 +396,14 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		b, err := json.Marshal(map[string]any{"commit": c})
+		b, err := configwatch.Encode(c)
 		if err != nil {
 			t.Fatal(err)
 		}
-		commits = append(commits, string(message(t, string(b))))
+		commits = append(commits, string(b))
 	}
+	const head = 4 // bytes of a message's length
+	first := commits[0][head:]
 	header := string(message(t, `{"header":{"revision":9,"digest":"00000000000000000000000000000000","records":5,"pieces":1}}`))
 	for name, text := range map[string]string{
 		"no JSON":           string(message(t, "[1")),
@@ -412,6 +413,11 @@
 		"a commit twice":    commits[0] + commits[0],
 		"a piece alone":     string(message(t, `{"piece":{"number":0,"data":"AA=="}}`)),
 		"a spoilt piece":    header + string(message(t, `{"piece":{"number":0,"data":"AAAA"}}`)),
+		"a commit cut":      string(message(t, first[:len(first)-1])),
+		"a commit and more": string(message(t, first+"\x00")),
+		"another encoding":  string(message(t, "\x02"+first[1:])),
+		"a commit in JSON":  string(message(t, `{"commit":{"revision":1}}`)),
+		"no commit":         string(message(t, first[:1])),
 		"two headers":       header + header,
 		"a commit inside":   header + commits[0],
 		"no end of records": string(message(t, `{"header":{"revision":9,"records":999999999999,"pieces":1}}`)),
@@ -481,7 +487,7 @@
 						if _, err := io.ReadFull(here, body); err != nil {
 							return
 						}
-						if strings.HasPrefix(string(body), `{"commit"`) {
+						if body[0] != '{' { // a commit: the other messages are JSON
 							got.Done()
 						}
 					}
--- a/internal/net/configwatch/server.go
+++ b/internal/net/configwatch/server.go
@@ -64,6 +64,8 @@
 	mu       sync.Mutex
 	feed     *distribution.Feed
 	progress *distribution.Progress
+	regions  *distribution.Regions // of relays that watch here
+	ages     distribution.Ages
 	changed  chan struct{}     // closed at each change of the feed
 	conns    map[net.Conn]bool // of watchers that are served
 	cached   *records.Snapshot // nil: none
@@ -80,12 +82,7 @@
 		o.SnapshotBytes = defaultSnapshotBytes
 	}
 	return &Server{o: o, pace: rate.NewLimiter(rate.Limit(o.SnapshotBytes), snapshotBurst), feed: distribution.NewFeed(o.Limits, o.Seed),
-		progress: distribution.NewProgress(), changed: make(chan struct{}), conns: map[net.Conn]bool{}}
-}
-
-// Encode is a commit in the form in which it is sent.
-func Encode(c records.Commit) ([]byte, error) {
-	return frame.Append(nil, toWatcher{Commit: &c}, maxMessage)
+		progress: distribution.NewProgress(), regions: distribution.NewRegions(), changed: make(chan struct{}), conns: map[net.Conn]bool{}}
 }
 
 // Publish serves the next commit.
@@ -99,6 +96,7 @@
 	if err := s.feed.Advance(c, b); err != nil {
 		return err
 	}
+	s.ages.Add(c.Revision, s.o.Steady.Now())
 	s.wake()
 	return nil
 }
@@ -131,6 +129,14 @@
 	return s.progress.Sum(s.feed.At().Revision)
 }
 
+// Status tells how far the regions of the relays are that watch here, or did.
+func (s *Server) Status() distribution.Status {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	latest := s.feed.At().Revision
+	return distribution.Status{Revision: latest, Regions: s.regions.Status(s.o.Steady.Now(), latest, &s.ages)}
+}
+
 // Figures reads the counts.
 func (s *Server) Figures() Figures {
 	s.mu.Lock()
@@ -175,7 +181,7 @@
 	defer cancel()
 	go func() {
 		defer cancel()
-		s.read(r, w.Name)
+		s.read(r, w)
 	}()
 	stop := context.AfterFunc(ctx, func() { conn.Close() })
 	defer stop()
@@ -221,10 +227,11 @@
 	delete(s.conns, conn)
 	s.feed.Leave()
 	s.progress.Drop(name)
+	s.regions.Left(name)
 }
 
 // read takes the watcher's reports until its connection ends. A connection that is ended for what it sent is counted.
-func (s *Server) read(r *frame.Reader, name string) {
+func (s *Server) read(r *frame.Reader, w Watch) {
 	for {
 		var m toFeed
 		if err := r.Next(&m); err != nil {
@@ -232,12 +239,19 @@
 		}
 		if m.Report == nil {
 			s.cut.Add(1)
-			s.o.Log.Warn().Err(errAgain).Str("watcher", name).Msg("watcher cut off")
+			s.o.Log.Warn().Err(errAgain).Str("watcher", w.Name).Msg("watcher cut off")
 			return
 		}
-		s.mu.Lock()
-		s.progress.Put(name, *m.Report)
-		s.mu.Unlock()
+		s.heard(w, *m.Report)
+	}
+}
+
+func (s *Server) heard(w Watch, r distribution.Report) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.progress.Put(w.Name, r)
+	if w.Relay {
+		s.regions.Put(s.o.Steady.Now(), w.Name, w.Region, r)
 	}
 }
 
--- a/internal/net/configwatch/wire.go
+++ b/internal/net/configwatch/wire.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"puffinsaddle/internal/distribution"
+	"puffinsaddle/internal/frame"
 	"puffinsaddle/internal/records"
 )
 
@@ -26,15 +27,19 @@
 
 // Watch is the first message of a watcher.
 type Watch struct {
-	Name  string                `json:"name"`
-	At    distribution.Position `json:"at"`
-	Relay bool                  `json:"relay,omitempty"` // it serves others
+	Name   string                `json:"name"`
+	At     distribution.Position `json:"at"`
+	Relay  bool                  `json:"relay,omitempty"`  // it serves others
+	Region string                `json:"region,omitempty"` // of a relay
 }
 
 func (w Watch) check() error {
 	if w.Name == "" || len(w.Name) > maxWatchName {
 		return fmt.Errorf("configwatch: a watch needs a name of 1 to %d characters", maxWatchName)
 	}
+	if len(w.Region) > maxWatchName {
+		return fmt.Errorf("configwatch: a region of more than %d characters", maxWatchName)
+	}
 	return nil
 }
 
@@ -54,9 +59,10 @@
 	Report *distribution.Report `json:"report,omitempty"`
 }
 
-// toWatcher is a message of a feed. One of its parts is set.
+// toWatcher is a message of a feed. One of its parts is set. A commit is packed behind packedCommit, since commits are most of
+// what is sent; the others are JSON, which begins with another byte.
 type toWatcher struct {
-	Commit    *records.Commit `json:"commit,omitempty"`
+	Commit    *records.Commit `json:"-"`
 	Header    *records.Header `json:"header,omitempty"` // a snapshot begins
 	Piece     *records.Piece  `json:"piece,omitempty"`
 	Heartbeat *uint64         `json:"heartbeat,omitempty"` // the latest revision
@@ -71,3 +77,23 @@
 	errNotYet = errors.New("configwatch: a report before a watch")
 	errOther  = errors.New("configwatch: other records are held at this revision than were agreed on")
 )
+
+const packedCommit = 1 // the first byte of a message that is a commit
+
+// Encode is a commit in the form in which it is sent.
+func Encode(c records.Commit) ([]byte, error) {
+	return frame.AppendBytes(nil, records.AppendCommit([]byte{packedCommit}, c), maxMessage)
+}
+
+// decode reads the content of a message of a feed.
+func decode(content []byte) (m toWatcher, err error) {
+	if content[0] != packedCommit {
+		return m, frame.Decode(content, &m)
+	}
+	c, err := records.ParseCommit(content[1:])
+	if err != nil {
+		return m, fmt.Errorf("configwatch: %w", err)
+	}
+	m.Commit = &c
+	return m, nil
+}
--- a/internal/net/session/server.go
+++ b/internal/net/session/server.go
@@ -18,6 +18,7 @@
 
 	"puffinsaddle/internal/allot"
 	"puffinsaddle/internal/clock"
+	"puffinsaddle/internal/distribution"
 	"puffinsaddle/internal/duty"
 	"puffinsaddle/internal/frame"
 	"puffinsaddle/internal/mailbox"
@@ -48,6 +49,8 @@
 // Server serves sessions at a copy. One goroutine, Run, owns the grantor; it waits for no socket and no disk.
 type Server struct {
 	Led func(term uint64) // called when this copy begins to grant in a term; nil: nobody asks
+	// ConfigStatus answers ReadConfig; nil: this copy serves no relays.
+	ConfigStatus func() distribution.Status
 	// CheckChange refuses a change of records whose values make no sense, before it is written to the log; nil: none is.
 	CheckChange func(c records.Change) error
 
@@ -501,6 +504,12 @@
 		v = o
 	case ReadVersion:
 		v = st.Config.Latest()
+	case ReadConfig:
+		s := distribution.Status{Revision: st.Records.Revision()}
+		if d.ConfigStatus != nil {
+			s.Regions = d.ConfigStatus().Regions
+		}
+		v = s
 	default:
 		q.from.line.send(toServer{No: q.no, Error: fmt.Sprintf("session: unknown question %q", q.what)})
 		return
--- a/internal/net/session/wire.go
+++ b/internal/net/session/wire.go
@@ -65,6 +65,7 @@
 	ReadEffects = "effects"
 	ReadDuties  = "duties"
 	ReadVersion = "version"
+	ReadConfig  = "config" // answered with a distribution.Status
 )
 
 // Fleet is the answer to ReadFleet.
--- a/internal/recordfile/file.go
+++ b/internal/recordfile/file.go
@@ -27,7 +27,7 @@
 	blockHead  = 'H' // the header of the snapshot, as JSON
 	blockPiece = 'P' // a piece, as it is sent
 	blockDone  = 'D' // the snapshot is whole
-	blockEntry = 'C' // a commit, as JSON
+	blockEntry = 'C' // a commit, packed
 )
 
 // ErrSpoilt is the error of a file that is not as it was written.
@@ -157,8 +157,8 @@
 		if err != nil {
 			return err
 		}
-		var commit records.Commit
-		if kind != blockEntry || json.Unmarshal(data, &commit) != nil || commit.Revision != next {
+		commit, err := records.ParseCommit(data)
+		if kind != blockEntry || err != nil || commit.Revision != next {
 			return fmt.Errorf("%w: no commit %d", ErrSpoilt, next)
 		}
 		c.Commits = append(c.Commits, commit)
@@ -232,11 +232,7 @@
 
 // Append adds the next commit.
 func (f *File) Append(c records.Commit) error {
-	data, err := json.Marshal(c)
-	if err != nil {
-		return err
-	}
-	n, err := f.f.Write(appendBlock(nil, blockEntry, data))
+	n, err := f.f.Write(appendBlock(nil, blockEntry, records.AppendCommit(nil, c)))
 	f.commits += int64(n)
 	return err
 }
--- /dev/null
+++ b/internal/records/pack.go
@@ -0,0 +1,107 @@
+package records
+
+import "encoding/binary"
+
+const digestBytes = 16
+
+// AppendCommit packs a commit behind b: its revision, both digests, how many records it puts and each of them, how many keys it
+// deletes and each of them. Numbers are unsigned varints; names and values stand behind their length.
+func AppendCommit(b []byte, c Commit) []byte {
+	b = binary.AppendUvarint(b, c.Revision)
+	b = appendDigest(b, c.Before)
+	b = appendDigest(b, c.After)
+	b = binary.AppendUvarint(b, uint64(len(c.Puts)))
+	for _, p := range c.Puts {
+		b = appendKey(b, p.Key)
+		b = binary.AppendUvarint(b, uint64(len(p.Value)))
+		b = append(b, p.Value...)
+	}
+	b = binary.AppendUvarint(b, uint64(len(c.Deletes)))
+	for _, k := range c.Deletes {
+		b = appendKey(b, k)
+	}
+	return b
+}
+
+func appendDigest(b []byte, d Digest) []byte {
+	b = binary.BigEndian.AppendUint64(b, d.hi)
+	return binary.BigEndian.AppendUint64(b, d.lo)
+}
+
+func appendKey(b []byte, k Key) []byte {
+	b = append(b, byte(k.Kind))
+	b = binary.AppendUvarint(b, uint64(len(k.Name)))
+	return append(b, k.Name...)
+}
+
+// ParseCommit reads a packed commit that takes all of b, and keeps nothing of b. It bounds what it reads like Check does, which
+// is left to who carries the commit out. Any error is ErrMalformed.
+func ParseCommit(b []byte) (Commit, error) {
+	p := unpacker{rest: b}
+	c := Commit{Revision: p.number(), Before: p.digest(), After: p.digest()}
+	puts := p.count(MaxChangeKeys)
+	for range puts {
+		k := p.key()
+		c.Puts = append(c.Puts, Put{k, []byte(p.text(k.Kind.MaxValue()))})
+	}
+	deletes := p.count(MaxChangeKeys - puts)
+	for range deletes {
+		c.Deletes = append(c.Deletes, p.key())
+	}
+	if p.failed || len(p.rest) > 0 {
+		return Commit{}, ErrMalformed
+	}
+	return c, nil
+}
+
+// unpacker reads the parts of a packed commit. After the first failure all parts are zero.
+type unpacker struct {
+	rest   []byte
+	failed bool
+}
+
+func (p *unpacker) number() uint64 {
+	n, width := binary.Uvarint(p.rest)
+	if p.failed || width <= 0 {
+		p.failed = true
+		return 0
+	}
+	p.rest = p.rest[width:]
+	return n
+}
+
+func (p *unpacker) count(most int) int {
+	n := p.number()
+	if n > uint64(max(most, 0)) {
+		p.failed = true
+		return 0
+	}
+	return int(n)
+}
+
+func (p *unpacker) bytes(n int) []byte {
+	if p.failed || n > len(p.rest) {
+		p.failed = true
+		return nil
+	}
+	b := p.rest[:n]
+	p.rest = p.rest[n:]
+	return b
+}
+
+func (p *unpacker) text(most int) string { return string(p.bytes(p.count(most))) }
+
+func (p *unpacker) digest() (d Digest) {
+	if b := p.bytes(digestBytes); b != nil {
+		d.hi, d.lo = binary.BigEndian.Uint64(b), binary.BigEndian.Uint64(b[digestBytes/2:])
+	}
+	return d
+}
+
+func (p *unpacker) key() Key {
+	kind := p.bytes(1)
+	if kind == nil {
+		return Key{}
+	}
+	return Key{Kind(kind[0]), p.text(MaxName)}
+}
--- a/internal/records/records_test.go
+++ b/internal/records/records_test.go
@@ -1,6 +1,7 @@
 package records
 
 import (
+	"bytes"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -306,6 +307,38 @@
 	})
 }
 
+// A packed commit is read as what it was, and no part of one is taken for a whole.
+func TestPackedCommits(t *testing.T) {
+	s := NewSet(DefaultLimits)
+	for _, c := range []Change{
+		{Puts: []Put{tenantPut("a", "1")}},
+		{Puts: []Put{tenantPut("a", "2"), {Key{Setting, "b"}, bytes.Repeat([]byte{0}, MaxSetting)}, {Key{Route, strings.Repeat("c", MaxName)}, nil}}},
+		{Deletes: []Key{{Tenant, "a"}, {Setting, "b"}}},
+		{Puts: []Put{tenantPut("a", "3")}, Deletes: []Key{{Route, strings.Repeat("c", MaxName)}}},
+	} {
+		commit, err := s.Apply(c)
+		if err != nil {
+			t.Fatal(err)
+		}
+		packed := AppendCommit([]byte("before"), commit)[len("before"):]
+		got, err := ParseCommit(packed)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if want, text := fmt.Sprintf("%+v", commit), fmt.Sprintf("%+v", got); text != want {
+			t.Errorf("%s was packed, %s is read", want, text)
+		}
+		for n := range min(len(packed), 1000) {
+			if _, err := ParseCommit(packed[:n]); !errors.Is(err, ErrMalformed) {
+				t.Errorf("%d of %d bytes: %v", n, len(packed), err)
+			}
+		}
+		if _, err := ParseCommit(append(packed, 0)); !errors.Is(err, ErrMalformed) {
+			t.Errorf("a byte more: %v", err)
+		}
+	}
+}
+
 // FuzzCommits decodes what anybody may send as a commit.
 func FuzzCommits(f *testing.F) {
 	s := NewSet(DefaultLimits)
@@ -313,17 +346,17 @@
 	if err != nil {
 		f.Fatal(err)
 	}
-	b, err := json.Marshal(c)
-	if err != nil {
-		f.Fatal(err)
-	}
-	f.Add(b)
-	f.Add([]byte(`{"revision":1,"puts":[{"kind":"tenant","name":"a"},{"kind":"tenant","name":"a"}]}`))
-	f.Fuzz(func(t *testing.T, text []byte) {
-		var c Commit
-		if json.Unmarshal(text, &c) != nil {
+	f.Add(AppendCommit(nil, c))
+	f.Add(AppendCommit(nil, Commit{Revision: 1, Puts: []Put{tenantPut("a", ""), tenantPut("a", "")}}))
+	f.Add(AppendCommit(nil, Commit{Revision: 1, Puts: []Put{{Key{9, "a"}, nil}}, Deletes: []Key{{Route, "b"}}}))
+	f.Fuzz(func(t *testing.T, packed []byte) {
+		c, err := ParseCommit(packed)
+		if err != nil {
 			return
 		}
+		if again, err := ParseCommit(AppendCommit(nil, c)); err != nil || fmt.Sprint(again) != fmt.Sprint(c) {
+			t.Errorf("%+v is read as %+v once it is packed again: %v", c, again, err)
+		}
 		set := NewSet(DefaultLimits)
 		if err := set.Follow(c); err == nil && (set.Revision() != 1 || set.Digest() != c.After || c.Check() != nil) {
 			t.Error("a commit was taken that does not hold")
@@ -331,47 +364,95 @@
 	})
 }
 
+// sizedKind is a kind of records with the sizes at which it is measured, and what the records of docs/CAPACITY.md look like.
+type sizedKind struct {
+	kind  Kind
+	name  string
+	sizes []int
+	put   func(i, version int) Put
+}
+
+var sizedKinds = []sizedKind{
+	{Tenant, "tenants", []int{50000, 100000, 200000, 400000}, func(i, version int) Put {
+		return tenantPut(fmt.Sprintf("tenant-%06d", i), fmt.Sprintf(`{"share":0.0000025,"limit":%d.5}`, version%500))
+	}},
+	{Route, "routes", []int{10000, 20000, 40000, 77000}, func(i, version int) Put {
+		const value = `{"service":"svc-%05d","class":"book-delivery","group":"group-%02d","weight":%d,"regions":["r1","r2"]}`
+		return Put{Key{Route, fmt.Sprintf("svc-%05d/%05d", i/9, i)}, fmt.Appendf(nil, value, i/9, i%40, version%9+1)}
+	}},
+}
+
+// filled is a table with n records of the kind.
+func (k sizedKind) filled(n int) *Table {
+	table := NewTable()
+	for i := range n {
+		p := k.put(i, i)
+		table.Put(Record{p.Key, p.Value, uint64(i/700 + 1)})
+	}
+	return table
+}
+
 // BenchmarkTable measures what records take, and what a change of them costs.
 func BenchmarkTable(b *testing.B) {
-	for _, n := range []int{30000, 100000, 240000, 477000} {
-		b.Run(fmt.Sprintf("records=%d", n), func(b *testing.B) {
-			table := NewTable()
-			for i := range n {
-				table.Put(Record{Key{Tenant, fmt.Sprintf("tenant-%06d", i)}, []byte(`{"share":0.0000025,"limit":12.5}`), 1})
-			}
-			b.ReportMetric(float64(table.Bytes())/float64(n), "bytes/record")
-			i := 0
-			for b.Loop() {
-				i++
-				table.Put(Record{Key{Tenant, fmt.Sprintf("tenant-%06d", i*7919%n)}, []byte(`{"share":0.0000025,"limit":13.5}`), uint64(i)})
-			}
-		})
+	for _, k := range sizedKinds {
+		for _, n := range k.sizes {
+			b.Run(fmt.Sprintf("%s=%d", k.name, n), func(b *testing.B) {
+				table := k.filled(n)
+				b.ReportMetric(float64(table.Bytes()), "bytes")
+				i := 0
+				for b.Loop() {
+					i++
+					p := k.put(i*7919%n, i)
+					table.Put(Record{p.Key, p.Value, uint64(i)})
+				}
+			})
+		}
 	}
 }
 
 // BenchmarkSnapshot measures a snapshot's making and taking.
 func BenchmarkSnapshot(b *testing.B) {
-	for _, n := range []int{30000, 100000, 240000, 477000} {
-		table := NewTable()
+	for _, k := range sizedKinds {
+		for _, n := range k.sizes {
+			table := k.filled(n)
+			var s *Snapshot
+			b.Run(fmt.Sprintf("make/%s=%d", k.name, n), func(b *testing.B) {
+				for b.Loop() {
+					var err error
+					if s, err = NewSnapshot(table, 1); err != nil {
+						b.Fatal(err)
+					}
+				}
+				b.ReportMetric(float64(s.Bytes), "bytes")
+			})
+			b.Run(fmt.Sprintf("take/%s=%d", k.name, n), func(b *testing.B) {
+				for b.Loop() {
+					if _, err := s.Assemble(); err != nil {
+						b.Fatal(err)
+					}
+				}
+			})
+		}
+	}
+}
+
+// BenchmarkCommit measures a commit's packing and reading, by the records that it puts.
+func BenchmarkCommit(b *testing.B) {
+	for _, n := range []int{3, 10, 30, 100} {
+		var c Commit
+		c.Revision = 123456
 		for i := range n {
-			table.Put(Record{Key{Tenant, fmt.Sprintf("tenant-%06d", i)}, fmt.Appendf(nil, `{"share":0.0000025,"limit":%d.5}`, i%500), uint64(i / 700)})
+			c.Puts = append(c.Puts, sizedKinds[i%2].put(i, i))
 		}
-		var s *Snapshot
-		b.Run(fmt.Sprintf("make/records=%d", n), func(b *testing.B) {
-			for b.Loop() {
-				var err error
-				if s, err = NewSnapshot(table, 1); err != nil {
-					b.Fatal(err)
-				}
-			}
-			b.ReportMetric(float64(s.Bytes)/float64(n), "bytes/record")
-		})
-		b.Run(fmt.Sprintf("take/records=%d", n), func(b *testing.B) {
+		b.Run(fmt.Sprintf("puts=%d", n), func(b *testing.B) {
+			var packed []byte
 			for b.Loop() {
-				if _, err := s.Assemble(); err != nil {
+				packed = AppendCommit(packed[:0], c)
+				if _, err := ParseCommit(packed); err != nil {
 					b.Fatal(err)
 				}
 			}
+			b.ReportMetric(float64(len(packed)), "bytes")
 		})
 	}
 }
--- a/internal/relay/origin.go
+++ b/internal/relay/origin.go
@@ -74,6 +74,9 @@
 // Figures reads the counts.
 func (o *Origin) Figures() configwatch.Figures { return o.server.Figures() }
 
+// Status tells how far each region is.
+func (o *Origin) Status() distribution.Status { return o.server.Status() }
+
 // Report sums what the relays reported.
 func (o *Origin) Report() distribution.Report { return o.server.Report() }
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -23,6 +23,7 @@
 // Options set up a relay.
 type Options struct {
 	Name      string
+	Region    string // where it stands
 	Listen    string
 	Listener  net.Listener        // in place of Listen; nil: none
 	Copies    map[string]string   // address of each copy of the store, by its id
@@ -91,7 +92,7 @@
 	for _, id := range slices.Sorted(maps.Keys(o.Copies)) {
 		copies = append(copies, distribution.Relay{Name: id, Address: o.Copies[id]})
 	}
-	r.client = configwatch.NewClient(configwatch.ClientOptions{Name: o.Name, Relay: true, Preamble: []byte{store.ForWatches},
+	r.client = configwatch.NewClient(configwatch.ClientOptions{Name: o.Name, Relay: true, Region: o.Region, Preamble: []byte{store.ForWatches},
 		Selector: distribution.NewSelector(copies, distribution.Place{}, o.Seed), Follower: follower{r.replica, r.server},
 		Steady: o.Steady, Log: o.Log, Plant: o.Plant})
 	return r, nil
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -32,8 +32,9 @@
 
 	// Check tells whether a record can be put into force; nil: all can.
 	Check func(records.Put) error
-	// Use puts settings into force, each with its value, nil where it was deleted; nil: nothing is to be done.
-	Use func(settings map[string][]byte)
+	// Use puts settings into force, each with its value, nil where it was deleted. An error leaves those before in force, and is
+	// reported until settings that fit come; nil: nothing is to be done.
+	Use func(settings map[string][]byte) error
 
 	// Committed is called for each commit once it is in force, and Adopted once a snapshot is; nil: nobody asks.
 	Committed func(records.Commit)
@@ -53,7 +54,8 @@
 	set      *records.Set
 	file     *recordfile.File
 	rejected map[records.Key]distribution.Rejection
-	early    uint64 // the planted bug reports this
+	unfit    []records.Key // settings among them, which the last Use refused
+	early    uint64        // the planted bug reports this
 	reported uint64
 }
 
@@ -186,8 +188,26 @@
 			settings[k.Name] = nil
 		}
 	}
-	if len(settings) > 0 && r.o.Use != nil {
-		r.o.Use(settings)
+	r.useSettings(settings, c.Revision)
+}
+
+// useSettings puts settings into force, all together.
+func (r *Replica) useSettings(settings map[string][]byte, revision uint64) {
+	if len(settings) == 0 || r.o.Use == nil {
+		return
+	}
+	for _, k := range r.unfit {
+		delete(r.rejected, k)
+	}
+	r.unfit = nil
+	err := r.o.Use(settings)
+	if err == nil {
+		return
+	}
+	for name := range settings {
+		k := records.Key{Kind: records.Setting, Name: name}
+		r.reject(k, revision, err)
+		r.unfit = append(r.unfit, k)
 	}
 }
 
