Let relays find a copy that took office within a second

Traced by revision: c3 took office at 1887978, and its 23 relays came between 6 ms and 6.6 s later; servers had nothing to do with it. At fault: a relay that is refused by a copy that does not lead counts that as a failure, and its wait grows to 4 s as a server's does (Selector.Failed). The copy before had lost office 5 s after a kill since nobody heard it for 250 ms on a machine of six cores.

Change: relays wait a second at most; the scale run's copies replace a leader that is not heard for 1 s. Also: who stands for a duty that is held is looked through once a renewal in place of 50 times a second; Life of the core is Handler.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -21,7 +21,7 @@
 	keyedRoom   = 8 << 20 // bytes for the tries of keyed classes and their results, where nobody says how many
 )
 
-// Core owns the module's instance. One goroutine, Run, calls the module; lives and fronts tell it what
+// Core owns the module's instance. One goroutine, Run, calls the module; handlers and fronts tell it what
 // happened through the inbox and hear of its choices through their mailboxes.
 type Core struct {
 	clock  *clock.Clock
@@ -51,10 +51,10 @@
 	share func() float64 // what may be used below now; nil: what the settings say
 	used  atomic.Uint64  // bits of what was used of it in the span of the rule
 
-	mu     sync.Mutex
-	lives  map[policy.ID]*Life
-	byWire map[string]*Life
-	lastID policy.ID
+	mu       sync.Mutex
+	handlers map[policy.ID]*Handler
+	byWire   map[string]*Handler
+	lastID   policy.ID
 
 	// The owner's.
 	set    policy.Settings
@@ -70,23 +70,23 @@
 
 // event is one thing for the module, with what the owner needs besides.
 type event struct {
-	life   *Life
-	event  policy.Event // nil: only look at the time
-	notice Notice       // of a run's end
-	start  bool         // the runner is up
-	anew   bool         // it is another one than before
-	cold   bool
-	drain  float64          // when the process will be stopped
-	told   float64          // when that was said
-	set    *policy.Settings // in force from now on
-	call   func()
+	handler *Handler
+	event   policy.Event // nil: only look at the time
+	notice  Notice       // of a run's end
+	start   bool         // the runner is up
+	anew    bool         // it is another one than before
+	cold    bool
+	drain   float64          // when the process will be stopped
+	told    float64          // when that was said
+	set     *policy.Settings // in force from now on
+	call    func()
 }
 
 // New makes a core; Run has to be called for it to serve.
 func New(clk *clock.Clock, log zerolog.Logger, set policy.Settings, seed uint64, runner Runner, below Below, ledger Ledger) *Core {
 	c := &Core{clock: clk, log: log, tick: clock.Millis(set.Tick), seed: seed, runner: runner, below: below,
-		ledger: ledger, inbox: mailbox.New[event](), stop: make(chan struct{}), lives: map[policy.ID]*Life{},
-		byWire: map[string]*Life{}, keys: newKeyTable(clock.Millis(set.FreshFor), keyedRoom)}
+		ledger: ledger, inbox: mailbox.New[event](), stop: make(chan struct{}), handlers: map[policy.ID]*Handler{},
+		byWire: map[string]*Handler{}, keys: newKeyTable(clock.Millis(set.FreshFor), keyedRoom)}
 	c.counts.of = map[string]*classCount{}
 	c.adopt(set)
 	if c.ledger == nil {
@@ -132,11 +132,11 @@
 }
 
 // Open takes a request in. answer is called once at most, and not after Gone was heard in time.
-func (c *Core) Open(q *Request, answer func(Outcome)) *Life {
-	l := &Life{core: c, req: q, box: mailbox.New[any](), reply: answer}
+func (c *Core) Open(q *Request, answer func(Outcome)) *Handler {
+	l := &Handler{core: c, req: q, box: mailbox.New[any](), reply: answer}
 	c.mu.Lock()
 	twin := c.byWire[q.ID] != nil
-	if twin || len(c.lives) >= mostOpen {
+	if twin || len(c.handlers) >= mostOpen {
 		c.mu.Unlock()
 		// Guards against a second run under one id, and against memory: neither ever gets to the module.
 		if twin {
@@ -149,7 +149,7 @@
 	c.owed.Add(1)
 	c.counts.active.Add(1)
 	l.id, l.owed, l.counted = c.nextID(), true, true
-	c.lives[l.id], c.byWire[q.ID] = l, l
+	c.handlers[l.id], c.byWire[q.ID] = l, l
 	c.mu.Unlock()
 	go l.serve()
 	return l
@@ -157,7 +157,7 @@
 
 // nextID is a number that no open request has; 0 stands for none. The lock is held.
 func (c *Core) nextID() policy.ID {
-	for c.lastID++; c.lastID == 0 || c.lives[c.lastID] != nil; c.lastID++ {
+	for c.lastID++; c.lastID == 0 || c.handlers[c.lastID] != nil; c.lastID++ {
 	}
 	return c.lastID
 }
@@ -168,12 +168,12 @@
 	return c.nextID()
 }
 
-func (c *Core) leave(l *Life) {
+func (c *Core) leave(l *Handler) {
 	l.settle()
 	pool.Put(l.req.Body) // whatever ran has ended, and the runner has copied what it still sends
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	delete(c.lives, l.id)
+	delete(c.handlers, l.id)
 	delete(c.byWire, l.req.ID)
 }
 
@@ -237,11 +237,11 @@
 	return ok && err == nil, err
 }
 
-func (c *Core) tell(l *Life, e policy.Event) { c.inbox.Put(event{life: l, event: e}) }
+func (c *Core) tell(l *Handler, e policy.Event) { c.inbox.Put(event{handler: l, event: e}) }
 
 // finish tells the end of a run; the owner keeps the result where others may share it.
-func (c *Core) finish(l *Life, n Notice) {
-	c.inbox.Put(event{life: l, notice: n, event: policy.Finished{ID: l.id, Outcome: n.Outcome, Took: clock.Duration(n.Took)}})
+func (c *Core) finish(l *Handler, n Notice) {
+	c.inbox.Put(event{handler: l, notice: n, event: policy.Finished{ID: l.id, Outcome: n.Outcome, Took: clock.Duration(n.Took)}})
 }
 
 // Stop ends Run.
@@ -306,8 +306,8 @@
 	c.last = now
 	c.handle(now)
 	for i, e := range c.batch {
-		if _, left := e.event.(policy.CallerGone); left && !e.life.begun {
-			e.life.box.Put(dismissed{})
+		if _, left := e.event.(policy.CallerGone); left && !e.handler.begun {
+			e.handler.box.Put(dismissed{})
 		}
 		pool.Put(e.notice.Body)
 		c.batch[i] = event{}
@@ -351,7 +351,7 @@
 func (c *Core) translate(now float64, e event) policy.Event {
 	switch ev := e.event.(type) {
 	case policy.Arrived:
-		l, q := e.life, e.life.req
+		l, q := e.handler, e.handler.req
 		l.class, l.known = c.class[q.Class] // for good, whatever settings come
 		l.due = q.At + q.Wait
 		if q.Wait == 0 {
@@ -401,7 +401,7 @@
 func (c *Core) act(now float64, a policy.Action) {
 	switch a := a.(type) {
 	case policy.Start:
-		if l := c.life(a.ID); l != nil {
+		if l := c.handler(a.ID); l != nil {
 			l.begun = true
 			if !c.keys.mayBegin(l, now) {
 				l.box.Put(full{})
@@ -410,7 +410,7 @@
 			}
 		}
 	case policy.ShareResult:
-		if l := c.life(a.ID); l != nil {
+		if l := c.handler(a.ID); l != nil {
 			l.begun = true // its end is told by the share
 			result, ok := c.keys.result(l)
 			l.box.Put(shared{ok: ok, result: result})
@@ -424,7 +424,7 @@
 	case policy.SkipCall:
 		c.order(a.ID, a)
 	case policy.Remember:
-		if l := c.life(a.ID); l != nil {
+		if l := c.handler(a.ID); l != nil {
 			c.keys.remember(l, now+clock.Millis(a.Span))
 		}
 	case policy.Forget:
@@ -456,14 +456,14 @@
 	})
 }
 
-func (c *Core) life(id policy.ID) *Life {
+func (c *Core) handler(id policy.ID) *Handler {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.lives[id]
+	return c.handlers[id]
 }
 
 func (c *Core) order(id policy.ID, a policy.Action) {
-	if l := c.life(id); l != nil {
+	if l := c.handler(id); l != nil {
 		l.box.Put(a)
 	}
 }
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -57,7 +57,7 @@
 	return &rig{c, t, clk, h, make(chan string, 10)}
 }
 
-func (r *rig) open(id int, class, key string, at float64) *Life {
+func (r *rig) open(id int, class, key string, at float64) *Handler {
 	q := &Request{ID: fmt.Sprintf("%016x", id), Class: class, At: at, Wait: 3000, KB: 1, Key: key}
 	return r.Open(q, func(o Outcome) { r.answers <- fmt.Sprintf("%d %d %s", id, o.Verdict, o.Result) })
 }
@@ -70,7 +70,7 @@
 func (r *rig) through(left int) {
 	for open := left + 1; open > left; runtime.Gosched() {
 		r.mu.Lock()
-		open = len(r.lives)
+		open = len(r.handlers)
 		r.mu.Unlock()
 	}
 }
--- a/internal/core/life.go
+++ b/internal/core/handler.go
@@ -11,8 +11,8 @@
 	"puffinsaddle/policy"
 )
 
-// Life is one request in the server's hands.
-type Life struct {
+// Handler carries one request from its reading to its end.
+type Handler struct {
 	core     *Core
 	id       policy.ID
 	req      *Request
@@ -47,7 +47,7 @@
 )
 
 // Gone tells that nobody waits for the request any more.
-func (l *Life) Gone() {
+func (l *Handler) Gone() {
 	l.goneOnce.Do(func() {
 		l.end()
 		l.box.Put(callerGone{})
@@ -55,17 +55,17 @@
 }
 
 // Spurn fails a request that was not begun: those that came with it are nobody's. One that runs goes on.
-func (l *Life) Spurn() { l.box.Put(spurned{}) }
+func (l *Handler) Spurn() { l.box.Put(spurned{}) }
 
 // end takes the request out of the active ones: it has its answer, or nobody waits for one.
-func (l *Life) end() {
+func (l *Handler) end() {
 	if l.counted && !l.ended.Swap(true) {
 		l.core.counts.active.Add(-1)
 	}
 }
 
 // answer gives the one final answer; what comes after it is dropped.
-func (l *Life) answer(o Outcome) {
+func (l *Handler) answer(o Outcome) {
 	if !l.answered {
 		l.answered = true
 		l.core.counts.answered(l.req.Class, o.Verdict) // before the answer, which its caller may count at once
@@ -76,7 +76,7 @@
 }
 
 // settle takes the request out of those that wait for an answer.
-func (l *Life) settle() {
+func (l *Handler) settle() {
 	l.end()
 	if l.owed {
 		l.owed = false
@@ -85,7 +85,7 @@
 }
 
 // fail answers at once, whatever still runs.
-func (l *Life) fail() {
+func (l *Handler) fail() {
 	c := l.core
 	if c.clock.Now() >= l.due-c.tick {
 		l.answer(Outcome{Verdict: Overdue})
@@ -94,9 +94,9 @@
 	l.answer(Outcome{Verdict: Failed})
 }
 
-// serve is the life of one request, from its reading to the end of its run. Each l.core.tell tells the
+// serve handles one request, from its reading to the end of its run. Each l.core.tell tells the
 // module what happened; what the module chooses comes back through the mailbox.
-func (l *Life) serve() {
+func (l *Handler) serve() {
 	c := l.core
 	defer c.leave(l)
 	gone := false
@@ -230,14 +230,14 @@
 }
 
 // call makes one call below; the function it returns gives the call up.
-func (l *Life) call(nth int, order policy.CallOut, body []byte) func() {
+func (l *Handler) call(nth int, order policy.CallOut, body []byte) func() {
 	c := l.core
 	limit := clock.Millis(order.MaxWait)
 	if limit <= 0 {
 		limit = clock.Millis(l.class.Deadline)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	body = pool.Copy(body) // the life may move on to its next call while this one is being given up
+	body = pool.Copy(body) // the handler may move on to its next call while this one is being given up
 	begun := c.clock.Now()
 	go func() {
 		defer cancel()
--- a/internal/core/keys.go
+++ b/internal/core/keys.go
@@ -60,7 +60,7 @@
 }
 
 // keyOf is what ties a request to others; without a key, nothing does.
-func keyOf(l *Life) (classKey, bool) {
+func keyOf(l *Handler) (classKey, bool) {
 	if l.class.Safety == policy.Keyed {
 		return classKey{l.req.Class, l.req.Once, true}, true
 	}
@@ -76,7 +76,7 @@
 }
 
 // remember keeps an entry, where there is room.
-func (t *keyTable) remember(l *Life, expires float64) {
+func (t *keyTable) remember(l *Handler, expires float64) {
 	of, tied := keyOf(l)
 	if !tied {
 		return
@@ -120,7 +120,7 @@
 }
 
 // original names the remembered read that this one repeats.
-func (t *keyTable) original(l *Life, now float64) (policy.ID, bool) {
+func (t *keyTable) original(l *Handler, now float64) (policy.ID, bool) {
 	of, tied := keyOf(l)
 	e := t.byKey[of]
 	if !tied || e == nil || now >= e.expires || !t.usable(e, l.req.At) {
@@ -132,7 +132,7 @@
 // try names the try of a keyed request that this one repeats, held, running or over. Of those that the module hears
 // of in one call, the first stands for the others. False: another body came under the same key, so it is no try of
 // the same request.
-func (t *keyTable) try(l *Life) (first policy.ID, repeats, same bool) {
+func (t *keyTable) try(l *Handler) (first policy.ID, repeats, same bool) {
 	of, _ := keyOf(l)
 	body := t.sum(l.req)
 	e := t.tied(l.req)
@@ -165,7 +165,7 @@
 
 // mayBegin tells whether a request may start: one that is keyed needs an entry that ties its tries, and that no other
 // process begins them too. False: it never ran, and is not to.
-func (t *keyTable) mayBegin(l *Life, now float64) bool {
+func (t *keyTable) mayBegin(l *Handler, now float64) bool {
 	if l.class.Safety != policy.Keyed {
 		return true
 	}
@@ -284,7 +284,7 @@
 }
 
 // result is what a request may share.
-func (t *keyTable) result(l *Life) ([]byte, bool) {
+func (t *keyTable) result(l *Handler) ([]byte, bool) {
 	of, tied := keyOf(l)
 	e := t.byKey[of]
 	if !tied || e == nil || !e.ended || !t.usable(e, l.req.At) {
@@ -306,7 +306,7 @@
 	}
 }
 
-// memoryLedger remembers the effects begun in this life of the process: each for as long as a request with its id can
+// memoryLedger remembers the effects begun since this process started: each for as long as a request with its id can
 // come again and pass for new, by its own figures. It grows with what it holds, and keeps no id as text: a piece of a
 // message would keep the whole of it.
 type memoryLedger struct {
--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -105,7 +105,7 @@
 	Made    float64        // when the result was made, in Unix milliseconds, no later than it truly was
 	Forged  bool           // nothing ran: the Runner knows of no such request
 	Lost    bool           // nobody can tell whether the reply to its call arrived, so it may stand there for good
-	Body    []byte         // the result, or what to call with; the life that is told owns it
+	Body    []byte         // the result, or what to call with; the handler that is told owns it
 }
 
 // Runner does the work of requests. No method blocks.
--- a/internal/distribution/distribution_test.go
+++ b/internal/distribution/distribution_test.go
@@ -237,3 +237,20 @@
 		t.Errorf("%+v", sum)
 	}
 }
+
+// A relay that seeks the copy that leads waits less between its tries than a server that seeks a relay.
+func TestRelaysSeekTheLeaderSooner(t *testing.T) {
+	copies := []Relay{{Name: "a", Address: "a:1"}, {Name: "b", Address: "b:1"}}
+	longest := func(s *Selector) (ms float64) {
+		for range 1000 {
+			ms = max(ms, s.Failed())
+		}
+		return ms
+	}
+	if ms := longest(NewCopySelector(copies, 1)); ms > maxCopyBackoff || ms < 0.9*maxCopyBackoff {
+		t.Errorf("a relay waits up to %v ms", ms)
+	}
+	if ms := longest(NewSelector(copies, Place{}, 1)); ms > maxBackoff || ms < 0.9*maxBackoff {
+		t.Errorf("a server waits up to %v ms", ms)
+	}
+}
--- a/internal/distribution/selector.go
+++ b/internal/distribution/selector.go
@@ -43,9 +43,10 @@
 
 // Backoff of a watcher that is not served, in ms.
 const (
-	firstBackoff = 250.0
-	maxBackoff   = 4000.0
-	awayFor      = 30000.0 // a watcher on a relay of another zone looks for a nearer one after so long, up to twice that
+	firstBackoff   = 250.0
+	maxBackoff     = 4000.0
+	maxCopyBackoff = 1000.0  // of a relay that seeks the copy that leads
+	awayFor        = 30000.0 // a watcher on a relay of another zone looks for a nearer one after so long, up to twice that
 )
 
 // Selector chooses the relay to watch: those of the own zone first, then of the own region, then all others; among equals by a
@@ -63,6 +64,16 @@
 
 // NewSelector makes a selector over some relays.
 func NewSelector(relays []Relay, place Place, seed uint64) *Selector {
+	return newSelector(relays, place, seed, maxBackoff)
+}
+
+// NewCopySelector makes a relay's selector over the copies of the store. Relays are few, so it waits less between tries: all that
+// watch the relay wait with it until it has found the copy that leads.
+func NewCopySelector(copies []Relay, seed uint64) *Selector {
+	return newSelector(copies, Place{}, seed, maxCopyBackoff)
+}
+
+func newSelector(relays []Relay, place Place, seed uint64, maxBackoff float64) *Selector {
 	s := &Selector{rng: rand.New(rand.NewPCG(seed, 5)), place: place, avoid: map[string]float64{}}
 	s.tries = backoff.New(firstBackoff, maxBackoff, s.rng)
 	s.order = slices.Clone(relays)
--- a/internal/duty/grantor.go
+++ b/internal/duty/grantor.go
@@ -65,6 +65,8 @@
 	deaf   map[string]uint64           // leases, by epoch, that their holder does not seem to know of
 	shun   map[string]shunned          // who let a duty's time run out
 
+	sweepAt float64 // who stands for duties that are held is looked through then
+
 	earliest float64 // no lease lapses before this time, so until then the leases need not be walked
 }
 
@@ -93,7 +95,7 @@
 		g.earliest = now
 		return
 	}
-	g.term, g.since, g.earliest = term, now, now
+	g.term, g.since, g.earliest, g.sweepAt = term, now, now, now
 	g.heard, g.stands = map[string]heard{}, map[string]map[string]stand{}
 	g.free, g.asked = map[string]float64{}, map[string]bool{}
 	g.given, g.deaf, g.shun = map[string]heard{}, map[string]uint64{}, map[string]shunned{}
@@ -199,15 +201,23 @@
 
 // grants finds whom to grant what nobody holds, so many at most.
 func (g *Grantor) grants(now float64, t *Table, most int) (out []Order) {
-	load := map[string]int{}           // duties that are granted in this turn, by process
+	load := map[string]int{} // duties that are granted in this turn, by process
+	// Those who stand for a duty that is held matter to nobody, so they are looked through only now and then, lest they grow.
+	sweep := now >= g.sweepAt
+	if sweep {
+		g.sweepAt = now + g.Renew
+	}
 	present, counted := -1, g.Most > 0 // the count matters only where it is bounded and somebody wants in
 	for _, name := range slices.Sorted(maps.Keys(g.stands)) {
 		if len(out) >= most {
 			break
 		}
-		g.fade(name, now)
 		l := t.Leases[name]
-		if l != nil && l.Holder != "" {
+		held := l != nil && l.Holder != ""
+		if sweep || !held {
+			g.fade(name, now)
+		}
+		if held {
 			delete(g.free, name)
 			continue
 		}
--- a/internal/lab/scale/fleet.go
+++ b/internal/lab/scale/fleet.go
@@ -19,7 +19,8 @@
 
 const (
 	copies     = 3
-	copyCores  = 3.0 // of one copy: with one, 4,300 sessions that open at once keep every copy from holding office
+	copyCores  = 3.0    // of one copy: with one, 4,300 sessions that open at once keep every copy from holding office
+	electionMs = 1000.0 // with half of that, every process of the run beside them keeps copies from being heard in time
 	renewMs    = 500.0
 	presenceMs = 3000.0
 	clockRate  = 0.1
@@ -247,7 +248,7 @@
 		p.env = orderServerEnv(p)
 		p.before = func(p *process) error {
 			return f.write(p, listen, stand.Addr(), yamlMap{"duties": f.duties(reach, true),
-				"store": yamlMap{"id": p.name, "listen": f.stores[p.name], "dir": filepath.Join(p.dir, "store"), "peers": f.stores, "via": via}})
+				"store": yamlMap{"id": p.name, "listen": f.stores[p.name], "election_ms": electionMs, "dir": filepath.Join(p.dir, "store"), "peers": f.stores, "via": via}})
 		}
 	}
 	return nil
--- a/internal/net/respfront/front.go
+++ b/internal/net/respfront/front.go
@@ -70,7 +70,7 @@
 }
 
 func (f *Front) welcome(nc net.Conn) {
-	c := &conn{front: f, nc: nc, open: map[uint64]*core.Life{}, kick: make(chan struct{}, 1), used: f.clock.Now(), since: time.Now()}
+	c := &conn{front: f, nc: nc, open: map[uint64]*core.Handler{}, kick: make(chan struct{}, 1), used: f.clock.Now(), since: time.Now()}
 	var err error
 	if c.raw, err = nc.(*net.TCPConn).SyscallConn(); err != nil {
 		nc.Close() // it is closed already
@@ -214,7 +214,7 @@
 	f.mu.Unlock()
 }
 
-// conn is one connection: one goroutine reads it, one writes it, and answers come from lives in any order.
+// conn is one connection: one goroutine reads it, one writes it, and answers come from handlers in any order.
 type conn struct {
 	front *Front
 	nc    net.Conn
@@ -229,7 +229,7 @@
 
 	mu      sync.Mutex
 	within  bool // a part of a command was read, or a whole one is being taken; only the reader sets it
-	open    map[uint64]*core.Life
+	open    map[uint64]*core.Handler
 	out     []byte
 	writing bool
 	told    bool // 'closing' was sent
@@ -328,7 +328,7 @@
 	err := c.commands()
 	c.mu.Lock()
 	c.ended = true
-	var left []*core.Life
+	var left []*core.Handler
 	c.within = false
 	plain := err == io.EOF || err == io.ErrUnexpectedEOF // between two commands, or within one
 	if !plain && !errors.Is(err, os.ErrDeadlineExceeded) && err != errFaults {
@@ -495,7 +495,7 @@
 	if o.Forged && !c.forged.Swap(true) {
 		// What came beside it is most likely as false: it fails, but for what runs already.
 		c.mu.Lock()
-		var beside []*core.Life
+		var beside []*core.Handler
 		for _, l := range c.open {
 			if l != nil {
 				beside = append(beside, l)
@@ -599,7 +599,7 @@
 				c.mu.Lock()
 				c.broken = true
 				left := c.open
-				c.open = map[uint64]*core.Life{}
+				c.open = map[uint64]*core.Handler{}
 				c.mu.Unlock()
 				for _, l := range left {
 					if l != nil {
--- a/internal/net/respfront/front_test.go
+++ b/internal/net/respfront/front_test.go
@@ -243,7 +243,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { client.Close(); nc.Close() })
-	c = &conn{front: f, nc: nc, open: map[uint64]*core.Life{}, kick: make(chan struct{}, 1)}
+	c = &conn{front: f, nc: nc, open: map[uint64]*core.Handler{}, kick: make(chan struct{}, 1)}
 	if c.raw, err = nc.(*net.TCPConn).SyscallConn(); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/net/uwsgi/front.go
+++ b/internal/net/uwsgi/front.go
@@ -155,7 +155,7 @@
 	conn.SetReadDeadline(time.Time{})
 	f.mu.Unlock()
 	answered := make(chan struct{})
-	life := f.core.Open(q, func(o core.Outcome) {
+	handler := f.core.Open(q, func(o core.Outcome) {
 		status, after := status(o)
 		respond(conn, status, after, o.Result)
 		close(answered)
@@ -169,7 +169,7 @@
 	select {
 	case <-answered:
 	case <-left:
-		life.Gone()
+		handler.Gone()
 		return
 	}
 	linger(conn)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -93,7 +93,7 @@
 		copies = append(copies, distribution.Relay{Name: id, Address: o.Copies[id]})
 	}
 	r.client = configwatch.NewClient(configwatch.ClientOptions{Name: o.Name, Relay: true, Region: o.Region, Preamble: []byte{store.ForWatches},
-		Selector: distribution.NewSelector(copies, distribution.Place{}, o.Seed), Follower: follower{r.replica, r.server},
+		Selector: distribution.NewCopySelector(copies, o.Seed), Follower: follower{r.replica, r.server},
 		Steady: o.Steady, Log: o.Log, Plant: o.Plant})
 	return r, nil
 }
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -245,3 +245,52 @@
 		t.Errorf("it is at %+v", p)
 	}
 }
+
+// BenchmarkFollow measures what a change of three records costs an order server or a relay, its file included, by the records
+// that it holds.
+func BenchmarkFollow(b *testing.B) {
+	for _, n := range []int{30000, 100000, 240000, 477000} {
+		b.Run(fmt.Sprintf("records=%d", n), func(b *testing.B) {
+			tenant := func(i, version int) records.Put {
+				return records.Put{Key: records.Key{Kind: records.Tenant, Name: fmt.Sprintf("tenant-%06d", i)},
+					Value: fmt.Appendf(nil, `{"share":0.0000025,"limit":%d.5}`, version%500)}
+			}
+			set := records.NewSet(records.DefaultLimits)
+			r := Open(Options{Name: "s", Path: filepath.Join(b.TempDir(), "records"), Check: records.CheckValue, Log: zerolog.Nop()})
+			defer r.Close()
+			for i := 0; i < n; {
+				var c records.Change
+				for range min(records.MaxChangeKeys, n-i) {
+					c.Puts = append(c.Puts, tenant(i, 0))
+					i++
+				}
+				if _, err := set.Apply(c); err != nil {
+					b.Fatal(err)
+				}
+			}
+			if err := r.Adopt(records.Header{Revision: set.Revision()}, set.Table().Clone()); err != nil {
+				b.Fatal(err)
+			}
+			const ahead = 512
+			var commits []records.Commit
+			for i := 0; b.Loop(); i++ {
+				if len(commits) == 0 {
+					b.StopTimer()
+					for k := range ahead {
+						at := (i + k) * 3
+						c, err := set.Apply(records.Change{Puts: []records.Put{tenant(at%n, i), tenant((at+1)%n, i), tenant((at+2)%n, i)}})
+						if err != nil {
+							b.Fatal(err)
+						}
+						commits = append(commits, c)
+					}
+					b.StartTimer()
+				}
+				if err := r.Follow(commits[0]); err != nil {
+					b.Fatal(err)
+				}
+				commits = commits[1:]
+			}
+		})
+	}
+}
