--- a/cmd/puffinsaddle/main.go
+++ b/cmd/puffinsaddle/main.go
@@ -161,7 +161,7 @@
 	}
 	defer watch.close()
 	watch.run(ctx)
-	given, fronts, sockets, err := doors(cfg, c, clk, log)
+	given, fronts, sockets, err := openFronts(cfg, c, clk, log)
 	defer given.close()
 	if err != nil {
 		return err
@@ -310,9 +310,9 @@
 	Serve()
 }
 
-// doors takes the sockets of the process before this one over, or opens its own. That one may end just now: then it hands
+// openFronts takes the sockets of the process before this one over, or opens its own. That one may end just now: then it hands
 // nothing over, or not all, and its addresses are free a moment later.
-func doors(cfg *config.Config, c *core.Core, clk *clock.Clock, log zerolog.Logger) (given inheritance, fronts []front, sockets map[string]*net.TCPListener, err error) {
+func openFronts(cfg *config.Config, c *core.Core, clk *clock.Clock, log zerolog.Logger) (given inheritance, fronts []front, sockets map[string]*net.TCPListener, err error) {
 	for last := time.Now().Add(addressFor); ; time.Sleep(addressPause) {
 		if given, err = inherit(cfg, log); err == nil {
 			fronts, sockets, err = listen(cfg, given.sockets, c, clk, log)
--- a/internal/net/session/session_test.go
+++ b/internal/net/session/session_test.go
@@ -34,6 +34,9 @@
 	leads bool
 	other string
 	index uint64
+
+	begin   chan struct{} // no entry is agreed on before it is closed; nil: each is at once
+	largest int           // orders of one entry
 }
 
 func (c *oneCopy) Office() (uint64, bool) {
@@ -48,6 +51,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.index++
+	c.largest = max(c.largest, len(cmd.Orders))
 	r := c.st.Apply(cmd, c.term)
 	return func() (state.Result, error) { return r, nil }
 }
@@ -56,7 +60,12 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.index++
-	return func() error { return nil }
+	return func() error {
+		if c.begin != nil {
+			<-c.begin
+		}
+		return nil
+	}
 }
 
 func (c *oneCopy) View(look func(*state.State, uint64)) {
@@ -73,13 +82,19 @@
 }
 
 func open(t *testing.T, c *oneCopy, steady *clock.Clock) *place {
+	t.Helper()
+	return openFor(t, c, steady, 16)
+}
+
+// openFor opens a server for so many sessions.
+func openFor(t *testing.T, c *oneCopy, steady *clock.Clock, sessions int) *place {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { ln.Close() })
-	p := &place{copy: c, at: ln.Addr().String(), server: NewServer(c, &duty.Grantor{Rules: rules, Seed: 1}, 16, steady, zerolog.Nop())}
+	p := &place{copy: c, at: ln.Addr().String(), server: NewServer(c, &duty.Grantor{Rules: rules, Seed: 1}, sessions, steady, zerolog.Nop())}
 	go func() {
 		for {
 			conn, err := ln.Accept()
@@ -272,6 +287,44 @@
 	}
 }
 
+// Servers that come at once, while the copy is busy with its term's first entry, are all granted their presence, in entries that
+// are each bounded.
+func TestServersThatComeAtOnceAreTakenInSteps(t *testing.T) {
+	const fleet = 2*duty.MaxOrders + 100
+	copy := leads(state.New())
+	copy.begin = make(chan struct{})
+	lead := openFor(t, copy, clock.Steady(), fleet)
+	for i := range fleet {
+		conn, err := net.Dial("tcp", lead.at)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { conn.Close() })
+		who := fmt.Sprintf("os-%d#1", i)
+		conn.Write(append([]byte{store.ForSessions}, must(framed(toCopy{Heartbeat: &duty.Heartbeat{From: who, No: 1, Stands: []string{duty.PresenceOf(who)}}}))...))
+		go io.Copy(io.Discard, conn)
+	}
+	until := func(what string, holds func() bool) {
+		for late := time.Now().Add(patience); !holds(); time.Sleep(time.Millisecond) {
+			if time.Now().After(late) {
+				t.Fatalf("not within %s: %s", patience, what)
+			}
+		}
+	}
+	until("all heartbeats are in", func() bool { return lead.server.Figures().Heartbeats == fleet })
+	close(copy.begin)
+	present := 0
+	until("all are present", func() bool {
+		copy.View(func(st *state.State, _ uint64) { present = max(present, st.Duties.Present()) })
+		return present == fleet
+	})
+	copy.mu.Lock()
+	defer copy.mu.Unlock()
+	if copy.largest > duty.MaxOrders {
+		t.Errorf("an entry with %d orders", copy.largest)
+	}
+}
+
 // A server that a full copy sends away comes back no sooner than it was told, and is served once there is room.
 func TestServerComesBackWhenItWasTold(t *testing.T) {
 	steady := clock.Steady()
--- a/internal/records/records_test.go
+++ b/internal/records/records_test.go
@@ -398,13 +398,14 @@
 		for _, n := range k.sizes {
 			b.Run(fmt.Sprintf("%s=%d", k.name, n), func(b *testing.B) {
 				table := k.filled(n)
-				b.ReportMetric(float64(table.Bytes()), "bytes")
+				bytes := table.Bytes()
 				i := 0
 				for b.Loop() {
 					i++
 					p := k.put(i*7919%n, i)
 					table.Put(Record{p.Key, p.Value, uint64(i)})
 				}
+				b.ReportMetric(float64(bytes), "bytes")
 			})
 		}
 	}
