Bound what a refusal may ask for, and test on sockets that a relay keeps seeking

Change: refusals hold for a minute at relays and 20 renewals at copies at most; ages count from a feed's reset where nothing earlier is known; a relay on a clock that runs fast is refused 20 times by copies of which none leads (seen to fail with the bound of 4 s: 3,788 ms between two tries).

--- a/internal/distribution/distribution_test.go
+++ b/internal/distribution/distribution_test.go
@@ -254,3 +254,16 @@
 		t.Errorf("a server waits up to %v ms", ms)
 	}
 }
+
+// A relay that asks not to be tried for years is tried again within a minute.
+func TestRefusalsAreBounded(t *testing.T) {
+	s := NewSelector([]Relay{{Name: "a", Address: "a:1"}}, Place{}, 1)
+	s.Next(0)
+	s.Refused(0, 1e300, nil)
+	if _, wait, ok := s.Next(1); ok || wait > maxRefusal {
+		t.Errorf("tried at once %v, or after %v ms", ok, wait)
+	}
+	if _, _, ok := s.Next(maxRefusal); !ok {
+		t.Error("not tried after a minute")
+	}
+}
--- a/internal/distribution/regions_test.go
+++ b/internal/distribution/regions_test.go
@@ -56,6 +56,11 @@
 	if age := ages.Behind(now, 200); age != now-201 {
 		t.Errorf("an age of %v", age)
 	}
+	begun := &Ages{}
+	begun.Add(100, now) // with a snapshot: nothing is known of what came before
+	if begun.Behind(now+7, 60) != 7 || begun.Behind(now+7, 100) != 0 {
+		t.Error("who is behind a snapshot is taken for level, or who is level for behind")
+	}
 	ages.Add(1, now)
 	if ages.Behind(now, 1) != 0 || ages.Behind(now+7, 0) != 7 {
 		t.Error("a revision that does not follow does not begin anew")
--- a/internal/distribution/selector.go
+++ b/internal/distribution/selector.go
@@ -46,6 +46,7 @@
 	firstBackoff   = 250.0
 	maxBackoff     = 4000.0
 	maxCopyBackoff = 1000.0  // of a relay that seeks the copy that leads
+	maxRefusal     = 60000.0 // a relay that refused is tried again after so long, whatever it said
 	awayFor        = 30000.0 // a watcher on a relay of another zone looks for a nearer one after so long, up to twice that
 )
 
@@ -120,7 +121,7 @@
 // Refused tells that the relay asked not to be tried for a while, and which others it named, by name or address; the first of
 // them that is not to be avoided itself is tried next.
 func (s *Selector) Refused(now, retryMs float64, elsewhere []string) (wait float64) {
-	s.avoid[s.target.Address] = now + max(retryMs, 0)
+	s.avoid[s.target.Address] = now + min(max(retryMs, 0), maxRefusal)
 	for _, address := range elsewhere {
 		i := slices.IndexFunc(s.order, func(r Relay) bool { return r.Address == address || r.Name == address })
 		if i >= 0 && s.avoid[s.order[i].Address] <= now {
--- a/internal/net/configwatch/server.go
+++ b/internal/net/configwatch/server.go
@@ -106,6 +106,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.feed.Reset(p)
+	s.ages = distribution.Ages{}
+	s.ages.Add(p.Revision, s.o.Steady.Now()) // whoever is behind it has been so for that long at least
 	s.cached = nil
 	s.wake()
 }
--- a/internal/net/session/client.go
+++ b/internal/net/session/client.go
@@ -30,6 +30,7 @@
 	dialFor    = time.Second
 	firstRetry = 0.2  // renewals within which another copy is tried after the first failure,
 	maxRetry   = 2.0  // and after the last; so a server finds the copy that leads before its presence ends
+	fullMost   = 20.0 // after which a copy that says that it is full is tried again, whatever it says
 	answerFor  = 3.0  // renewals without an answer after which another copy is tried
 	endedEvery = 50.0 // ms; ends of effects that come within it go as one command
 	mostEnded  = 256  // of them in one
@@ -243,7 +244,7 @@
 		return fmt.Errorf("session: %q leads", *m.Else)
 	}
 	if m.RetryMs > 0 {
-		return &fullError{m.RetryMs}
+		return &fullError{min(m.RetryMs, fullMost*c.o.Rules.Renew)}
 	}
 	if m.Reply != nil {
 		now := c.o.Steady.Now()
--- a/internal/net/session/session_test.go
+++ b/internal/net/session/session_test.go
@@ -389,6 +389,38 @@
 	}
 }
 
+// A copy that sends a server away for years is tried again after some renewals.
+func TestRetryOfAFullCopyIsBounded(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	tries := make(chan struct{}, 1000)
+	go func() {
+		for {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			tries <- struct{}{}
+			conn.Write(must(framed(toServer{RetryMs: 1e300})))
+			go io.Copy(io.Discard, conn)
+		}
+	}()
+	quick := rules
+	quick.Renew = 1
+	c := NewClient(Options{Me: "a#1", Copies: map[string]string{"a": ln.Addr().String()}, Rules: quick, Seed: 1, Steady: clock.Steady(), Log: zerolog.Nop()})
+	go c.Run(t.Context())
+	for range 3 {
+		select {
+		case <-tries:
+		case <-time.After(patience):
+			t.Fatal("not tried again")
+		}
+	}
+}
+
 func must(b []byte, err error) []byte {
 	if err != nil {
 		panic(err)
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
 	"path/filepath"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -132,7 +134,10 @@
 
 func run(t *testing.T, o Options) *running {
 	t.Helper()
-	o.Listen, o.Steady, o.Log = "127.0.0.1:0", clock.Steady(), zerolog.Nop()
+	o.Listen = "127.0.0.1:0"
+	if o.Steady == nil {
+		o.Steady, o.Log = clock.Steady(), zerolog.Nop()
+	}
 	r, err := Open(o)
 	if err != nil {
 		t.Fatal(err)
@@ -307,3 +312,45 @@
 		return w.AgeMs > 0 && w.Behind == 1 && w.LowestName == "far" && n.Lowest == 2 && n.AgeMs == 0
 	})
 }
+
+// waits gathers how long a relay waited after each try, in ms, from its log.
+type waits struct {
+	mu  sync.Mutex
+	all []float64
+}
+
+// Write takes a line of the log.
+func (w *waits) Write(line []byte) (int, error) {
+	var text struct {
+		Message string  `json:"message"`
+		Wait    float64 `json:"wait_ms"`
+	}
+	if json.Unmarshal(line, &text) == nil && text.Message == "not watching" {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		w.all = append(w.all, text.Wait)
+	}
+	return len(line), nil
+}
+
+func (w *waits) list() []float64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return slices.Clone(w.all)
+}
+
+// However long no copy leads, a relay tries again within a second or so of its clock, which runs fast here, and then follows.
+func TestRelayKeepsSeekingTheLeader(t *testing.T) {
+	const tries, mostWait, fast = 20, 1000.0, 20.0
+	e, addresses, _ := copies(t, "a", "b", "c")
+	e.lead("nobody")
+	e.change(t, "k", "1")
+	w := &waits{}
+	r := run(t, Options{Name: "relay", Copies: addresses, Seed: 1, Steady: clock.Steady().Apart(fast), Log: zerolog.New(w)})
+	until(t, "it was refused many times", func() bool { return len(w.list()) >= tries })
+	if longest := slices.Max(w.list()); longest > mostWait {
+		t.Errorf("it waits %v ms between two tries", longest)
+	}
+	e.lead("b")
+	until(t, "it follows", func() bool { return r.replica.Position() == e.at() })
+}
