Keep a refused value reported where the other settings fit again

Cause, found on reading: Replica.useSettings took back the rejections that the last Use had made by key alone, and so also one that the check had made of another value of that key since.

Change: only a rejection that is still the one that Use made is taken back. Its test was seen to fail without (no rejection was reported). Comments of frame and of the names on the wire.

--- a/internal/frame/frame.go
+++ b/internal/frame/frame.go
@@ -1,6 +1,6 @@
 // Package frame is the one form of messages between processes of this program: a length of four bytes, the highest first,
-// and so many bytes, which are JSON unless both sides agree on another encoding. What is malformed, too large or too slow in coming is an error, after which the connection is of
-// no use.
+// and so many bytes, which are JSON unless both sides agree on another encoding. What is malformed, too large or too slow in
+// coming is an error, after which the connection is of no use.
 package frame
 
 import (
--- a/internal/net/session/wire.go
+++ b/internal/net/session/wire.go
@@ -27,7 +27,8 @@
 	ErrStale       = errors.New("session: refused for its epoch")
 )
 
-// toCopy is a message of an order server. One of its parts is set.
+// toCopy is a message of an order server. One of its parts is set. Its names in JSON are those of earlier builds, whose servers
+// and copies are understood.
 type toCopy struct {
 	Heartbeat *duty.Heartbeat `json:"beat,omitempty"`
 	Ack       uint64          `json:"ack,omitempty"`  // with a heartbeat: the version of the share that is in use
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -54,8 +54,8 @@
 	set      *records.Set
 	file     *recordfile.File
 	rejected map[records.Key]distribution.Rejection
-	unfit    []records.Key // settings among them, which the last Use refused
-	early    uint64        // the planted bug reports this
+	unfit    map[records.Key]distribution.Rejection // those of them that the last Use made
+	early    uint64                                 // the planted bug reports this
 	reported uint64
 }
 
@@ -196,10 +196,12 @@
 	if len(settings) == 0 || r.o.Use == nil {
 		return
 	}
-	for _, k := range r.unfit {
-		delete(r.rejected, k)
+	for k, made := range r.unfit {
+		if r.rejected[k] == made { // the check may have refused another value meanwhile
+			delete(r.rejected, k)
+		}
 	}
-	r.unfit = nil
+	r.unfit = map[records.Key]distribution.Rejection{}
 	err := r.o.Use(settings)
 	if err == nil {
 		return
@@ -207,7 +209,7 @@
 	for name := range settings {
 		k := records.Key{Kind: records.Setting, Name: name}
 		r.reject(k, revision, err)
-		r.unfit = append(r.unfit, k)
+		r.unfit[k] = r.rejected[k]
 	}
 }
 
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -199,6 +199,29 @@
 	}
 }
 
+// A value that the check refuses stays reported, though the settings without it fit again.
+func TestRefusedValueStaysReportedWhereTheRestFits(t *testing.T) {
+	a, all := newAgreed(t), inForce{}
+	r := Open(Options{Name: "s", Log: zerolog.Nop(), Check: func(p records.Put) error {
+		if string(p.Value) == "bad" {
+			return errors.New("not to be had")
+		}
+		return nil
+	}, Use: func(settings map[string][]byte) error {
+		all.use(settings)
+		if all["b"] == "" {
+			return errors.New("b is missing")
+		}
+		return nil
+	}})
+	follow(t, r, a.put("a", "1"))
+	follow(t, r, a.change(records.Change{Puts: []records.Put{setting("a", "bad"), setting("b", "1")}}))
+	report := r.Report()
+	if len(report.Rejections) != 1 || report.Rejections[0].Key != "setting/a" || report.Rejections[0].Reason != "not to be had" {
+		t.Errorf("%+v", report)
+	}
+}
+
 // What was never agreed on is thrown away with its file; what is in force stays so until a snapshot takes its place.
 func TestDiscardedRecordsStayInForceUntilASnapshot(t *testing.T) {
 	a, used, path := newAgreed(t), inForce{}, filepath.Join(t.TempDir(), "records")
