--- a/internal/lab/scale/fleet.go
+++ b/internal/lab/scale/fleet.go
@@ -209,6 +209,22 @@
 	return []string{labEnv, "RELAY_CONFIG=" + filepath.Join(p.dir, "config.json"), "PUFFINSADDLE_OPERATOR=" + filepath.Join(p.dir, "operator.yaml")}
 }
 
+// layOrderServer lays out where an order server listens and who does its work. operator is its operator's file, made for each life.
+func (f *fleet) layOrderServer(p *process, operator func() yamlMap) error {
+	listen, err := freeAddress()
+	if err != nil {
+		return err
+	}
+	stand, err := lab.NewStandIn(p.name)
+	if err != nil {
+		return err
+	}
+	f.stands = append(f.stands, stand)
+	p.env = orderServerEnv(p)
+	p.before = func(p *process) error { return f.write(p, listen, stand.Addr(), operator()) }
+	return nil
+}
+
 // layCopies lays the copies of the store out, each in a region of its own as far as there are enough.
 func (f *fleet) layCopies() error {
 	for i := range copies {
@@ -236,20 +252,13 @@
 		for id, at := range via {
 			reach[id] = at
 		}
-		listen, err := freeAddress()
+		err := f.layOrderServer(p, func() yamlMap {
+			return yamlMap{"duties": f.duties(reach, true),
+				"store": yamlMap{"id": p.name, "listen": f.stores[p.name], "election_ms": electionMs, "dir": filepath.Join(p.dir, "store"), "peers": f.stores, "via": via}}
+		})
 		if err != nil {
 			return err
 		}
-		stand, err := lab.NewStandIn(p.name)
-		if err != nil {
-			return err
-		}
-		f.stands = append(f.stands, stand)
-		p.env = orderServerEnv(p)
-		p.before = func(p *process) error {
-			return f.write(p, listen, stand.Addr(), yamlMap{"duties": f.duties(reach, true),
-				"store": yamlMap{"id": p.name, "listen": f.stores[p.name], "election_ms": electionMs, "dir": filepath.Join(p.dir, "store"), "peers": f.stores, "via": via}})
-		}
 	}
 	return nil
 }
@@ -319,20 +328,13 @@
 		if err != nil {
 			return err
 		}
-		listen, err := freeAddress()
+		err = f.layOrderServer(p, func() yamlMap {
+			return yamlMap{"duties": f.duties(reach, false),
+				"distribution": yamlMap{"zone": zone, "region": f.regions[zone], "relays": relays, "path": filepath.Join(p.dir, "records")}}
+		})
 		if err != nil {
 			return err
 		}
-		stand, err := lab.NewStandIn(p.name)
-		if err != nil {
-			return err
-		}
-		f.stands = append(f.stands, stand)
-		p.env = orderServerEnv(p)
-		p.before = func(p *process) error {
-			return f.write(p, listen, stand.Addr(), yamlMap{"duties": f.duties(reach, false),
-				"distribution": yamlMap{"zone": zone, "region": f.regions[zone], "relays": relays, "path": filepath.Join(p.dir, "records")}})
-		}
 		f.servers = append(f.servers, p)
 	}
 	return nil
--- a/internal/net/configwatch/configwatch_test.go
+++ b/internal/net/configwatch/configwatch_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"os"
 	"path/filepath"
@@ -506,3 +507,35 @@
 		})
 	}
 }
+
+// Snapshots together go no faster than they may, however many watchers ask for one.
+func TestSnapshotsAreThrottled(t *testing.T) {
+	const bytesASecond, burst, watchers = 4 << 20, 1 << 20, 3
+	f := openFeed(t, distribution.Limits{Commits: 1, Bytes: 1 << 20, Watchers: 8, Snapshots: 4}, func(o *configwatch.ServerOptions) { o.SnapshotBytes = bytesASecond })
+	random := rand.NewChaCha8([32]byte{1})
+	for i := range 40 { // what can't be compressed
+		value := make([]byte, records.MaxSetting)
+		random.Read(value)
+		f.mu.Lock()
+		commit, err := f.set.Apply(records.Change{Puts: []records.Put{{Key: records.Key{Kind: records.Setting, Name: fmt.Sprint(i)}, Value: value}}})
+		f.mu.Unlock()
+		if err = errors.Join(err, f.server.Publish(commit)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	began := time.Now()
+	var all []*watching
+	for range watchers {
+		all = append(all, watch(t, "", to(f)))
+	}
+	for _, w := range all {
+		w.level(t, f)
+	}
+	least := time.Duration(float64(watchers*40*records.MaxSetting-burst) / bytesASecond * float64(time.Second))
+	if took := time.Since(began); took < least {
+		t.Errorf("%d snapshots took %s, at least %s is wanted", watchers, took, least)
+	}
+	if n := f.server.Figures().Snapshots; n < watchers {
+		t.Errorf("%d snapshots were sent", n)
+	}
+}
--- a/internal/recordfile/file_test.go
+++ b/internal/recordfile/file_test.go
@@ -165,6 +165,9 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	if info, err := os.Stat(w.path); err != nil || info.Size() != w.ends[2] {
+		t.Errorf("the cut block is still there: %v, %v", info, err)
+	}
 	if want := w.ends[2] - w.ends[0]; f.Commits() != want {
 		t.Errorf("%d bytes of commits, %d are wanted", f.Commits(), want)
 	}
--- a/internal/store/rates_test.go
+++ b/internal/store/rates_test.go
@@ -63,7 +63,7 @@
 	const field = "write_bytes:"
 	text, err := os.ReadFile("/proc/self/io")
 	if err != nil {
-		b.Skip("the kernel does not count what is written: ", err)
+		b.Fatal("the kernel does not count what is written: ", err)
 	}
 	for line := range strings.Lines(string(text)) {
 		if number, ok := strings.CutPrefix(line, field); ok {
