Close connections after the last answers of a drain, not at a time of their own

Callers saw: on a drain the connection ended in place of the answer to a request sent up to 2.4 s before; the process left by itself some 10 ms before the kill and logged owed above 0.

Cause: the module answers all open requests 60 ms before the stop, by a timer; core.Shutdown closed all connections 25 ms before the stop, by a sleep, whether or not the module had been called. A process that is not scheduled in between finds both due, and the close comes first.

TestShutdownClosesAfterLateLastAnswer holds the module's goroutine while the clock moves: at "the process left and owed an answer", EOF.

Change: the module says when it has given its last answers. Connections are closed after that, and not before 25 ms ahead of the stop, each one under its lock when no request is open on it, no answer is unwritten and no input unread. Duties are released at the last answers: callers can now delay the close until the kill, and the leases would last until they expire.

--- a/cmd/puffinsaddle/main.go
+++ b/cmd/puffinsaddle/main.go
@@ -263,8 +263,7 @@
 				log.Info().Msg("replaced")
 				manager.drain()
 				go func() {
-					c.YieldToSuccessor(s.arrivedMS, drainFronts...)
-					manager.releaseAll()
+					shutDown(func() { c.YieldToSuccessor(s.arrivedMS, drainFronts...) }, c.StopReached(), manager.releaseAll)
 					close(drainDone)
 				}()
 			case !draining:
@@ -276,8 +275,7 @@
 					go func() { logFailure(log, replica.Set(drainKeyPrefix+cfg.Name, []byte("draining"))) }() // the drain needs no quorum
 				}
 				go func() {
-					c.Shutdown(s.arrivedMS, cfg.StopTimeoutMS, drainFronts...)
-					manager.releaseAll()
+					shutDown(func() { c.Shutdown(s.arrivedMS, cfg.StopTimeoutMS, drainFronts...) }, c.StopReached(), manager.releaseAll)
 					close(drainDone)
 				}()
 			}
@@ -291,6 +289,23 @@
 	}
 }
 
+// shutDown closes the fronts and releases the duties. The duties are released as soon as no further downstream call can
+// be made, that is, when the fronts are closed or the module has given its last answers before the stop: callers may keep
+// the fronts open until the process is killed, and the leases would then last until they expire.
+func shutDown(closeFronts func(), stopReached <-chan struct{}, releaseDuties func()) {
+	closed := make(chan struct{})
+	go func() {
+		closeFronts()
+		close(closed)
+	}()
+	select {
+	case <-closed:
+	case <-stopReached:
+	}
+	releaseDuties()
+	<-closed
+}
+
 // reload reads the configuration again and applies it with use; an invalid one changes nothing. It returns whether the
 // configuration was applied. Changes other than peer addresses and settings need a restart.
 func reload(load func() (*config.Config, error), previous *config.Config, log zerolog.Logger, apply func(*config.Config)) bool {
--- a/cmd/puffinsaddle/main_test.go
+++ b/cmd/puffinsaddle/main_test.go
@@ -526,3 +526,31 @@
 		}
 	}
 }
+
+// A caller keeps the fronts open until the kill. Guards against leases that are not released then and block the next holder
+// until they expire.
+func TestDutiesAreReleasedWhileFrontsAreOpen(t *testing.T) {
+	stopReached, released, frontsMayClose, done := make(chan struct{}), make(chan struct{}), make(chan struct{}), make(chan struct{})
+	go func() {
+		shutDown(func() { <-frontsMayClose }, stopReached, func() { close(released) })
+		close(done)
+	}()
+	select {
+	case <-released:
+		t.Error("released while requests may still make downstream calls")
+	case <-time.After(20 * time.Millisecond):
+	}
+	close(stopReached)
+	select {
+	case <-released:
+	case <-time.After(testTimeout):
+		t.Fatal("not released")
+	}
+	select {
+	case <-done:
+		t.Error("ended before the fronts were closed")
+	default:
+	}
+	close(frontsMayClose)
+	<-done
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -32,8 +32,9 @@
 	downstream Downstream
 	effectLog  EffectLog
 
-	inbox *mailbox.Box[event]
-	stop  chan struct{}
+	inbox       *mailbox.Box[event]
+	stop        chan struct{}
+	stopReached chan struct{} // closed once the module has given its last answers before the stop
 
 	// Read by the fronts.
 	shallow, healthy atomic.Bool
@@ -86,7 +87,7 @@
 func New(clk *clock.Clock, log zerolog.Logger, settings policy.Settings, seed uint64, runner Runner, downstream Downstream,
 	effectLog EffectLog) *Core {
 	c := &Core{clock: clk, log: log, tickMS: clock.Millis(settings.Tick), seed: seed, runner: runner, downstream: downstream,
-		effectLog: effectLog, inbox: mailbox.New[event](), stop: make(chan struct{}), handlers: map[policy.ID]*Handler{},
+		effectLog: effectLog, inbox: mailbox.New[event](), stop: make(chan struct{}), stopReached: make(chan struct{}), handlers: map[policy.ID]*Handler{},
 		byRequestID: map[string]*Handler{}, keys: newKeyTable(clock.Millis(settings.SharedResultTTL), defaultKeyTableBytes)}
 	c.counts.byClass = map[string]*classCounts{}
 	c.adopt(settings)
@@ -344,6 +345,9 @@
 	}
 	c.events = c.events[:0]
 	clear(c.keys.unremembered)
+	if c.module.StopReached() && !c.hasStopped() {
+		close(c.stopReached)
+	}
 }
 
 func (c *Core) startModule(now float64, cold bool) {
--- /dev/null
+++ b/internal/net/drain_test.go
@@ -0,0 +1,35 @@
+package net_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// holdModule blocks the goroutine that calls the module until release is called, as on a process that gets no processor.
+func (h *testServer) holdModule() (release func()) {
+	held, released := make(chan struct{}), make(chan struct{})
+	h.core.AfterPendingEvents(func() { close(held); <-released })
+	<-held
+	return func() { close(released) }
+}
+
+// The module gives its last answer later than the time at which connections may be closed, since the process was not
+// scheduled in between. Guards against closing a connection that is owed an answer.
+func TestShutdownClosesAfterLateLastAnswer(t *testing.T) {
+	x, h, clk := newKeyedServer(t, nil)
+	p := h.router()
+	p.sendRequest(1, 1, "book-delivery", fmt.Sprintf(",at=%.0f", startMS), "a")
+	x.want("EXEC", id(1))
+	shutdownDone := beginShutdown(t, h, p, clk)
+	release := h.holdModule()
+	clk.Set(startMS + 1199) // of 1200
+	select {
+	case <-shutdownDone:
+		t.Error("the process left and owed an answer")
+	case <-time.After(100 * time.Millisecond):
+	}
+	release()
+	p.want("1", "error")
+	<-shutdownDone
+}
--- a/internal/net/respfront/front.go
+++ b/internal/net/respfront/front.go
@@ -117,11 +117,17 @@
 	if !c.stopIfIdle() {
 		return false
 	}
-	c.nc.Close() // without the connection's lock, which the reader may be waiting for
-	delete(f.conns, c)
+	f.closeStopped(c)
 	return true
 }
 
+// closeStopped closes a connection that is not read any more. The caller holds the front's lock, but not the connection's,
+// which the reader may be waiting for.
+func (f *Front) closeStopped(c *conn) {
+	c.nc.Close()
+	delete(f.conns, c)
+}
+
 // stopIfIdle stops reading from a connection without open requests, queued answers or input, asks its router to send no
 // more, and reports whether it did so.
 func (c *conn) stopIfIdle() bool {
@@ -130,6 +136,34 @@
 	if c.inCommand || len(c.openRequests) > 0 || c.writing || len(c.sendBuffer) > 0 || !accept.IsIdle(c.nc) {
 		return false
 	}
+	c.stopReading()
+	return true
+}
+
+// stopIfSettled stops reading from a connection on which nothing is owed, and returns what is owed. Unlike stopIfIdle it
+// also stops within a command whose rest has not arrived, since that is not a request yet.
+func (c *conn) stopIfSettled() (owed core.Owed) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.broken {
+		return owed
+	}
+	owed.Answers = len(c.openRequests)
+	if c.writing || len(c.sendBuffer) > 0 {
+		owed.Writes = 1
+	}
+	if !c.readDone && (c.inCommand && !c.awaitingRest || !accept.IsIdle(c.nc)) {
+		owed.Reads = 1
+	}
+	if owed.Total() == 0 {
+		c.stopReading()
+	}
+	return owed
+}
+
+// stopReading stops reading from a connection on which nothing is queued, and asks its router to send no more. The caller
+// holds the connection's lock.
+func (c *conn) stopReading() {
 	c.broken = true
 	if c.receivedCommand && !c.closingSent {
 		c.closingSent = true
@@ -138,7 +172,6 @@
 			return true
 		})
 	}
-	return true
 }
 
 // Drain asks all routers to send no new requests. The listener stays open: closing it would reset the connections in its
@@ -173,6 +206,20 @@
 	return true
 }
 
+// CloseSettled closes each connection on which nothing is owed, and returns what is owed on the others.
+func (f *Front) CloseSettled() (owed core.Owed) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for c := range f.conns {
+		if connOwed := c.stopIfSettled(); connOwed.Total() > 0 {
+			owed.Add(connOwed)
+			continue
+		}
+		f.closeStopped(c)
+	}
+	return owed
+}
+
 // Close closes the listener and all connections.
 func (f *Front) Close() {
 	f.ln.Close()
@@ -236,6 +283,7 @@
 
 	mu              sync.Mutex
 	inCommand       bool                     // a command was partly read, or a complete one is being handled; set by the reader only
+	awaitingRest    bool                     // with inCommand: all input was read, and it ends within a command
 	openRequests    map[uint64]*core.Handler // by tag; nil until the handler is known
 	sendBuffer      []byte
 	writing         bool
@@ -327,6 +375,7 @@
 	for n, err = syscall.Read(int(fd), b); err == syscall.EINTR; n, err = syscall.Read(int(fd), b) {
 	}
 	c.inCommand = c.inCommand || n > 0
+	c.awaitingRest = err == syscall.EAGAIN
 	if n == 0 && err == nil {
 		err = io.EOF
 	}
--- a/internal/net/respfront/front_test.go
+++ b/internal/net/respfront/front_test.go
@@ -313,3 +313,32 @@
 		t.Errorf("client that was never served: %v; want a timeout", err)
 	}
 }
+
+// Guards against closing a connection that is owed an answer: one with an open request, or with a command that has arrived
+// and is not handled yet. A command whose rest has not arrived is no request, and must not keep the process.
+func TestCloseSettledKeepsConnectionsThatAreOwedAnAnswer(t *testing.T) {
+	runner := manualRunner{started: make(chan *core.Attempt, 1)}
+	f, clk := startFrontWith(t, runner)
+	conn := dial(t, f)
+	io.WriteString(conn, reqFrame(1))
+	attempt := <-runner.started
+	if owed := f.CloseSettled(); owed.Answers != 1 {
+		t.Errorf("with an open request: owed %+v, want 1 answer", owed)
+	}
+	attempt.Notify(core.Notice{Ended: true, Outcome: policy.OK, Body: pool.Copy([]byte("b"))})
+	wantRead(t, conn, doneFrame(1))
+	io.WriteString(conn, "*4\r\n$3\r\nREQ\r\n$1\r\n9\r\n$4\r\nread\r\n$0\r\n\r\n") // invalid: reading stops for a while
+	wantRead(t, conn, "*3\r\n$1\r\n9\r\n$5\r\nerror\r\n$0\r\n\r\n")
+	io.WriteString(conn, reqFrame(2)[:20])
+	if owed := f.CloseSettled(); owed.Reads != 1 {
+		t.Errorf("with unread input: owed %+v, want 1 read", owed)
+	}
+	clk.Set(startMS + invalidRequestDelayMS)
+	for f.CloseSettled().Total() > 0 { // until the reader has read all input
+		runtime.Gosched()
+	}
+	wantRead(t, conn, closingFrame)
+	if n, err := io.Copy(io.Discard, conn); n > 0 || err != nil {
+		t.Errorf("after the closing message: read %d bytes, %v; want the end", n, err)
+	}
+}
--- a/internal/net/uwsgi/front.go
+++ b/internal/net/uwsgi/front.go
@@ -40,13 +40,22 @@
 	ln       *accept.Listener
 
 	mu           sync.Mutex
-	conns        map[net.Conn]bool // true while the request is being read
+	conns        map[net.Conn]connState
 	shuttingDown bool
 }
 
+// connState is what a connection is used for at present.
+type connState int
+
+const (
+	readingRequest connState = iota // the request is being read
+	awaitingAnswer                  // the request was read and has no answer yet
+	answered                        // the answer is written
+)
+
 // New returns a front on a listening socket; Serve has to be called next.
 func New(ln *accept.Listener, settings config.UWSGI, c *core.Core, clk *clock.Clock, log zerolog.Logger) *Front {
-	return &Front{settings: settings, core: c, clock: clk, log: log, ln: ln, conns: map[net.Conn]bool{}}
+	return &Front{settings: settings, core: c, clock: clk, log: log, ln: ln, conns: map[net.Conn]connState{}}
 }
 
 // Addr returns the address that the front listens on.
@@ -63,7 +72,7 @@
 			conn.Close()
 			return
 		}
-		f.conns[conn] = true
+		f.conns[conn] = readingRequest
 		f.mu.Unlock()
 		go func() {
 			defer func() {
@@ -74,6 +83,7 @@
 			}()
 			if full {
 				writeResponse(conn, http.StatusServiceUnavailable, 1, nil)
+				f.setAnswered(conn)
 				linger(conn)
 				return
 			}
@@ -91,8 +101,8 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.shuttingDown = true
-	for conn, reading := range f.conns {
-		if reading {
+	for conn, state := range f.conns {
+		if state == readingRequest {
 			conn.SetReadDeadline(time.Now())
 		}
 	}
@@ -108,6 +118,30 @@
 	return len(f.conns) == 0
 }
 
+// CloseSettled returns what is owed. Connections close by themselves once their answers are written.
+func (f *Front) CloseSettled() (owed core.Owed) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, state := range f.conns {
+		switch state {
+		case readingRequest:
+			owed.Reads++
+		case awaitingAnswer:
+			owed.Answers++
+		}
+	}
+	return owed
+}
+
+// setAnswered records that the answer on a connection is written, unless the connection has ended.
+func (f *Front) setAnswered(conn net.Conn) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if _, open := f.conns[conn]; open {
+		f.conns[conn] = answered
+	}
+}
+
 // Close closes the listener and all connections.
 func (f *Front) Close() {
 	f.ln.Close()
@@ -146,19 +180,21 @@
 		}
 		f.log.Debug().Err(err).Int("status", status).Msg("invalid uwsgi request")
 		writeResponse(conn, status, 0, nil)
+		f.setAnswered(conn)
 		linger(conn)
 		return
 	}
 
 	f.mu.Lock()
-	f.conns[conn] = false
+	f.conns[conn] = awaitingAnswer
 	conn.SetReadDeadline(time.Time{})
 	f.mu.Unlock()
-	answered := make(chan struct{})
+	answerWritten := make(chan struct{})
 	handler := f.core.Open(q, func(o core.Outcome) {
 		status, retryAfterS := httpStatus(o)
 		writeResponse(conn, status, retryAfterS, o.Result)
-		close(answered)
+		f.setAnswered(conn)
+		close(answerWritten)
 	})
 	// The request is abandoned when the caller closes the connection; anything else that the caller sends is discarded.
 	disconnected := make(chan struct{})
@@ -167,7 +203,7 @@
 		close(disconnected)
 	}()
 	select {
-	case <-answered:
+	case <-answerWritten:
 	case <-disconnected:
 		handler.CallerGone()
 		return
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -151,7 +151,7 @@
 		n.admit(r)
 	}
 	n.arrivals = n.arrivals[:0]
-	if n.draining && n.now >= n.stopAt {
+	if n.StopReached() {
 		n.answerAll()
 	}
 	n.runChecks()
@@ -887,6 +887,10 @@
 	}
 }
 
+// StopReached reports whether the process is about to be stopped: all requests have been answered, and later
+// ones are refused at once.
+func (n *Instance) StopReached() bool { return n.draining && n.now >= n.stopAt }
+
 // answerAll answers every open request before the process is stopped.
 func (n *Instance) answerAll() {
 	open := make([]*request, 0, len(n.requests))
