Plan the end of a replaced process by its stop timeout too

Callers saw: after a replacement, requests open at the first process got no answer; their connections ended with the kill, stop_ms after SIGTERM. Requests sent up to 2.2 s before it were lost.

Cause: YieldToSuccessor planned the end by the longest deadline of a class (at most 3 s) and 0.7 s more, and was not told stop_ms. With a shorter one the module's last answers were due after the kill.

TestYieldAnswersBeforeStop waits in vain for its answer without the change (timeout at 20 s) and passes with it.

Change: the stop of a replaced process is stop_ms after its notice at the latest, and its last answers and the close are planned by that. TestYieldWaitsForRequestThatCrossesClosing passes 1e7 ms, as its server had no limit before.

--- a/cmd/puffinsaddle/main.go
+++ b/cmd/puffinsaddle/main.go
@@ -263,7 +263,7 @@
 				log.Info().Msg("replaced")
 				manager.drain()
 				go func() {
-					shutDown(func() { c.YieldToSuccessor(s.arrivedMS, drainFronts...) }, c.StopReached(), manager.releaseAll)
+					shutDown(func() { c.YieldToSuccessor(s.arrivedMS, cfg.StopTimeoutMS, drainFronts...) }, c.StopReached(), manager.releaseAll)
 					close(drainDone)
 				}()
 			case !draining:
--- a/internal/core/drain.go
+++ b/internal/core/drain.go
@@ -24,7 +24,7 @@
 
 	// A process that was replaced runs for at least minYieldMS, since requests may still arrive that were sent before
 	// callers received the drain notice. It is stopped yieldGraceMS after the longest deadline of a class, which counts
-	// as at most maxYieldDeadlineMS.
+	// as at most maxYieldDeadlineMS, or when the platform kills it if that is earlier.
 	minYieldMS         = 1000.0
 	maxYieldDeadlineMS = 3000.0
 	yieldGraceMS       = 700.0
@@ -84,11 +84,11 @@
 }
 
 // YieldToSuccessor shuts down a process that was replaced by a successor on the same listening sockets, after a notice
-// that arrived at noticedAt. Unlike Shutdown it keeps the state of health checks, since callers see the two processes as
-// one server.
-func (c *Core) YieldToSuccessor(noticedAt float64, fronts ...Front) {
+// that arrived at noticedAt, stopMS before the process is stopped. Unlike Shutdown it keeps the state of health checks,
+// since callers see the two processes as one server.
+func (c *Core) YieldToSuccessor(noticedAt, stopMS float64, fronts ...Front) {
 	longest := clock.Millis(time.Duration(c.longestDeadline.Load()))
-	stopAt := noticedAt + min(longest, maxYieldDeadlineMS) + yieldGraceMS
+	stopAt := noticedAt + min(min(longest, maxYieldDeadlineMS)+yieldGraceMS, stopMS)
 	c.yielding.Store(true)
 	c.Drain(noticedAt, stopAt)
 	for _, f := range fronts {
--- a/internal/net/drain_test.go
+++ b/internal/net/drain_test.go
@@ -33,3 +33,21 @@
 	p.want("1", "error")
 	<-shutdownDone
 }
+
+// A replaced process is killed as long after its notice as one that drains, which may be earlier than the deadlines of its
+// requests. Guards against requests that get no answer because the process planned to run for longer.
+func TestYieldAnswersBeforeStop(t *testing.T) {
+	x, h, clk := newKeyedServer(t, nil)
+	p := h.router()
+	p.sendRequest(1, 1, "book-delivery", fmt.Sprintf(",at=%.0f", startMS), "a")
+	x.want("EXEC", id(1))
+	yieldDone := make(chan struct{})
+	go func() {
+		h.core.YieldToSuccessor(startMS, 1200, h.resp)
+		close(yieldDone)
+	}()
+	p.want("0", "closing")
+	clk.Set(startMS + 1199)
+	p.want("1", "error")
+	<-yieldDone
+}
--- a/internal/net/rare_test.go
+++ b/internal/net/rare_test.go
@@ -77,7 +77,7 @@
 	p.want("1", "healthy")
 	front, yieldDone := &flushCounter{Front: h.resp}, make(chan struct{})
 	go func() {
-		h.core.YieldToSuccessor(startMS, front)
+		h.core.YieldToSuccessor(startMS, 1e7, front)
 		close(yieldDone)
 	}()
 	p.want("0", "closing")
