--- a/internal/lab/peers.go
+++ b/internal/lab/peers.go
@@ -35,6 +35,8 @@
 	name      string
 	onEvent   func(trace.Event)
 	bootState func() (cold bool, ageMs float64)
+	onRun     func(id string)      // called with the id of each EXEC, if set
+	neverEnds func(id string) bool // selects the runs that never end, if set
 
 	mu           sync.Mutex
 	conn         net.Conn
@@ -137,7 +139,12 @@
 			if words[2] == bookingClass {
 				x.onEvent(trace.Event{What: trace.EffectExecuted, Who: x.name, Text: words[1]})
 			}
-			go x.execute(generation, words[1], words[2], body)
+			if x.onRun != nil {
+				x.onRun(words[1])
+			}
+			if x.neverEnds == nil || !x.neverEnds(words[1]) {
+				go x.execute(generation, words[1], words[2], body)
+			}
 		case "RETURN", "BYPASS":
 			x.mu.Lock()
 			if wait := x.pendingCalls[words[1]]; wait != nil {
--- a/internal/lab/platform.go
+++ b/internal/lab/platform.go
@@ -21,6 +21,7 @@
 	MemoryMB        int
 	Sockets         int
 	Cores           float64 // 0 means 1
+	StopTimeoutMS   float64 // from the drain notice to the kill; 0 means stopTimeoutMS
 }
 
 // Write writes the file as JSON.
@@ -40,8 +41,12 @@
 	if cores == 0 {
 		cores = 1
 	}
+	stopMS := p.StopTimeoutMS
+	if stopMS == 0 {
+		stopMS = stopTimeoutMS
+	}
 	file := object{"name": p.Name, "listen": p.Listen, "executor": p.Executor, "vault": p.Vault, "operator": p.OperatorAddress,
-		"seed": fmt.Sprintf("%016x", p.Seed), "stop_ms": stopTimeoutMS, "limits": object{"cores": cores, "memory_mb": p.MemoryMB, "sockets": p.Sockets}, "settings": settings}
+		"seed": fmt.Sprintf("%016x", p.Seed), "stop_ms": stopMS, "limits": object{"cores": cores, "memory_mb": p.MemoryMB, "sockets": p.Sockets}, "settings": settings}
 	b, err := json.MarshalIndent(file, "", " ")
 	if err != nil {
 		return err
