--- a/internal/net/drain_test.go
+++ b/internal/net/drain_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"testing"
 	"time"
 )
@@ -51,3 +52,21 @@
 	p.want("1", "error")
 	<-yieldDone
 }
+
+// A gateway has sent a part of a packet when its server is replaced. Guards against a connection that ends without the
+// answer 408 and keeps the process from ending by itself.
+func TestYieldAnswersPartialPacket(t *testing.T) {
+	_, h, clk := newKeyedServer(t, nil)
+	partial := h.gateway(packet("b", "ORDER_CLASS", "book-delivery")[:20], false)
+	yieldDone := make(chan struct{})
+	go func() {
+		h.core.YieldToSuccessor(startMS, 1200, h.uwsgi)
+		close(yieldDone)
+	}()
+	clk.Set(startMS + 1000)
+	if status, _, _ := partial.readResponse(); status != http.StatusRequestTimeout {
+		t.Errorf("a partial packet got %d, want 408", status)
+	}
+	clk.Set(startMS + 1199)
+	<-yieldDone
+}
