Repeat failed accepts while a closing listener's queue is emptied

Callers saw: a connection that the system had established was reset when the listener closed before the stop, with the request on it, if the process had no free descriptor at that moment.

Cause: acceptQueued gave up at the first accept that failed, and the socket was closed over the rest of its queue. Found by reading; an accept that found its connection taken by another process also waited up to 1 s, of the 250 ms that are left (not reproduced).

Evidence: TestQueueIsEmptiedDespiteFailedAccepts takes the descriptors away for 20 ms: without the change "connection 0 of 20 got nothing, i/o timeout"; with it all 20 are served.

Change: an accept is repeated while the queue holds a connection, until 150 ms have passed without one that succeeded.

--- a/internal/net/accept/accept.go
+++ b/internal/net/accept/accept.go
@@ -12,9 +12,9 @@
 )
 
 const (
-	acceptRetryDelay    = 5 * time.Millisecond // delay after a failed accept
-	closingAcceptPeriod = 5 * time.Millisecond // accepting continues for this long once the listener is to close
-	queuedAcceptTimeout = time.Second          // for an accept from a non-empty queue, whose connection may vanish meanwhile
+	acceptRetryDelay    = 5 * time.Millisecond   // delay after a failed accept
+	closingAcceptPeriod = 5 * time.Millisecond   // accepting continues for this long once the listener is to close
+	queuedAcceptTimeout = 150 * time.Millisecond // without an accepted connection, until the rest of the queue is given up
 )
 
 // Listener accepts connections until it is stopped.
@@ -73,16 +73,25 @@
 }
 
 // acceptQueued accepts the connections left in the queue after the listener's deadline. An Accept whose deadline has passed
-// fails without checking the queue, and the deadline may pass between two calls or before the first one.
+// fails without checking the queue, and the deadline may pass between two calls or before the first one. An accept may also
+// find that another process has taken the connection, or that no descriptor is free; it is then repeated for a while.
 func (l *Listener) acceptQueued(handle func(net.Conn)) {
+	lastAccepted := time.Now()
 	for l.hasQueued() {
-		l.ln.SetDeadline(time.Now().Add(queuedAcceptTimeout))
+		l.ln.SetDeadline(time.Now().Add(acceptRetryDelay))
 		conn, err := l.ln.Accept()
-		if err != nil {
+		if err == nil {
+			handle(conn)
+			lastAccepted = time.Now()
+			continue
+		}
+		if errors.Is(err, net.ErrClosed) || time.Since(lastAccepted) > queuedAcceptTimeout {
 			l.log.Warn().Err(err).Msg("accept from the remaining queue")
-			return
+			break
+		}
+		if !isTimeout(err) {
+			time.Sleep(acceptRetryDelay)
 		}
-		handle(conn)
 	}
 	l.ln.Close() // at once: later connections are refused, so their clients know that nothing ran
 }
--- a/internal/net/accept/accept_test.go
+++ b/internal/net/accept/accept_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	"golang.org/x/sys/unix"
 )
 
 const queuedConns = 20
@@ -108,3 +109,30 @@
 	wantEchoes(t, conns)
 	successor.Close()
 }
+
+// The process has no free descriptor while its listener closes. Guards against resetting queued connections because an accept
+// failed.
+func TestQueueIsEmptiedDespiteFailedAccepts(t *testing.T) {
+	l, conns := listenWithQueue(t)
+	var limit unix.Rlimit
+	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &limit); err != nil {
+		t.Fatal(err)
+	}
+	setLimit := func(descriptors uint64) {
+		if err := unix.Setrlimit(unix.RLIMIT_NOFILE, &unix.Rlimit{Cur: descriptors, Max: limit.Max}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	t.Cleanup(func() { setLimit(limit.Cur) })
+	l.StopAccepting()
+	setLimit(3)
+	served := make(chan struct{})
+	go func() {
+		l.Serve(echoByte)
+		close(served)
+	}()
+	time.Sleep(4 * closingAcceptPeriod) // all accepts fail
+	setLimit(limit.Cur)
+	<-served
+	wantEchoes(t, conns)
+}
