Keep a listener yielded when it is stopped afterwards

Callers saw: nothing was observed. A process that yields its listener before it has begun to serve, and is stopped then, accepted connections that it had left to its successor, shortly before its end.

Cause: Listener.stop overwrote yielded; the end of a replaced process calls StopAccepting after Yield.

Evidence: TestStopAfterYieldLeavesQueueToSuccessor accepts connections of the successor without the change and none with it.

--- a/internal/net/accept/accept.go
+++ b/internal/net/accept/accept.go
@@ -131,7 +131,7 @@
 func (l *Listener) stop(deadline time.Time, yielded bool) {
 	l.mu.Lock()
 	alreadyStopped := l.stopped
-	l.stopped, l.yielded = true, yielded
+	l.stopped, l.yielded = true, l.yielded || yielded
 	serving := l.serving
 	l.mu.Unlock()
 	if !alreadyStopped {
--- a/internal/net/accept/accept_test.go
+++ b/internal/net/accept/accept_test.go
@@ -136,3 +136,12 @@
 	<-served
 	wantEchoes(t, conns)
 }
+
+// The process that shares the socket has all queued connections, whether or not this process had begun to serve when it
+// yielded. Guards against an end that takes them back.
+func TestStopAfterYieldLeavesQueueToSuccessor(t *testing.T) {
+	l, _ := listenWithQueue(t)
+	l.Yield()
+	l.StopAccepting()
+	l.Serve(func(net.Conn) { t.Error("accepted a connection that belongs to the successor") })
+}
