--- a/cmd/puffinsaddle/command.go
+++ b/cmd/puffinsaddle/command.go
@@ -316,7 +316,7 @@
 		if err != nil {
 			return fmt.Errorf("%w: %v", errUsage, err)
 		}
-		if _, _, err := uwsgiServers(o); err != nil {
+		if _, err := loadInventory(o); err != nil {
 			return fmt.Errorf("%w: %v", errUsage, err)
 		}
 		fmt.Fprintf(out, "%s: good\n", c.Operator)
