Part the RESP front's file by job: connections, reading, commands, writing, idle

They are now front.go, conn.go, reader.go, command.go, writer.go and idle.go. The handling of ABORT and HEALTH, the failing of forged requests and the steps of the writer are functions of their own.

--- /dev/null
+++ b/internal/net/respfront/command.go
@@ -0,0 +1,121 @@
+package respfront
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"strconv"
+
+	"puffinsaddle/internal/core"
+	"puffinsaddle/internal/pool"
+)
+
+const (
+	maxOpenRequests       = 32   // on a connection, by the protocol
+	maxInvalidRequests    = 8    // on a connection; the next one ends it
+	invalidRequestDelayMS = 50.0 // reading stops for this long after each invalid request
+)
+
+// handleCommand handles one command; an error ends the connection.
+func (c *conn) handleCommand(args [][]byte) error {
+	if len(args) < 2 {
+		return errors.New("command without a tag")
+	}
+	tag, err := strconv.ParseUint(string(args[1]), 10, 64)
+	if err != nil || tag == 0 {
+		return fmt.Errorf("tag %q is not a positive integer", args[1])
+	}
+	switch {
+	case bytes.Equal(args[0], []byte("REQ")):
+		return c.handleRequest(tag, args)
+	case bytes.Equal(args[0], []byte("ABORT")):
+		c.handleAbort(tag)
+		return nil
+	case bytes.Equal(args[0], []byte("HEALTH")):
+		return c.handleHealth(tag, args)
+	}
+	return fmt.Errorf("unknown command %q", args[0])
+}
+
+// handleAbort handles the command ABORT: the router no longer waits for a request.
+func (c *conn) handleAbort(tag uint64) {
+	c.mu.Lock()
+	handler := c.openRequests[tag]
+	delete(c.openRequests, tag)
+	c.mu.Unlock()
+	if handler != nil {
+		handler.CallerGone()
+	}
+}
+
+// handleHealth handles the command HEALTH.
+func (c *conn) handleHealth(tag uint64, args [][]byte) error {
+	deep := false
+	if len(args) > 2 {
+		f, err := parseFields(args[2])
+		if err != nil {
+			return err
+		}
+		deep = f["deep"] == "1"
+	}
+	c.front.core.Health(deep, func(healthy bool) {
+		hint, hasHint := c.front.core.Hint()
+		c.enqueue(func(b []byte) []byte { return appendHealth(b, tag, hint, hasHint, healthy) })
+	})
+	return nil
+}
+
+// handleRequest handles the command REQ.
+func (c *conn) handleRequest(tag uint64, args [][]byte) error {
+	q, err := parseRequest(args, c.front.clock.Now())
+	if errors.Is(err, errInvalidValue) {
+		return c.rejectInvalid(tag, err)
+	}
+	if err != nil {
+		return err
+	}
+	if c.forgedSeen.Load() { // guards against a flood of forged requests, which would displace genuine ones
+		return c.rejectInvalid(tag, errTooManyInvalid)
+	}
+	q.Body = pool.Copy(q.Body) // the buffer of the arguments is reused
+	c.mu.Lock()
+	_, inUse := c.openRequests[tag]
+	full := len(c.openRequests) >= maxOpenRequests
+	if !inUse && !full {
+		c.openRequests[tag] = nil // the answer may come before Open returns
+	}
+	c.mu.Unlock()
+	if inUse {
+		return fmt.Errorf("tag %d is already in use", tag)
+	}
+	if full {
+		c.sendAnswer(tag, core.Outcome{Verdict: core.Refused, RetryAfterMS: 1})
+		return nil
+	}
+	handler := c.front.core.Open(q, func(o core.Outcome) { c.sendAnswer(tag, o) })
+	c.mu.Lock()
+	if _, pending := c.openRequests[tag]; pending {
+		c.openRequests[tag] = handler
+	}
+	c.mu.Unlock()
+	return nil
+}
+
+// rejectInvalid answers an invalid request, which does not reach the policy module. A connection with many of them is read
+// slowly and then no longer. This guards against clients that repeat a request as soon as it is rejected.
+func (c *conn) rejectInvalid(tag uint64, err error) error {
+	c.mu.Lock()
+	_, inUse := c.openRequests[tag]
+	c.mu.Unlock()
+	if inUse {
+		return err
+	}
+	if c.invalidRequests++; c.invalidRequests > maxInvalidRequests {
+		return errTooManyInvalid
+	}
+	c.sendAnswer(tag, core.Outcome{Verdict: core.Failed})
+	delayed := make(chan struct{})
+	c.front.clock.After(invalidRequestDelayMS, func() { close(delayed) })
+	<-delayed
+	return nil
+}
