Hand over the leadership of a store replica at the start of a drain

Callers saw, by the code (not observed): after the drain of the process with the leading store replica, bookings refused on all servers until an election, where callers used their connections until the kill.

Cause: the hand-over came when the replica was closed, after the fronts and after 100 ms for the release of leases: after the kill.

Change: a draining process marks itself in the store and hands over its leadership at once; closing the replica still hands over one that it has gained since.

--- a/cmd/puffinsaddle/drain.go
+++ b/cmd/puffinsaddle/drain.go
@@ -16,11 +16,18 @@
 	s.reporter.Leave()
 	s.manager.drain()
 	if s.replica != nil {
-		go func() { logFailure(s.log, s.replica.Set(drainKeyPrefix+s.cfg.Name, []byte("draining"))) }() // the drain needs no quorum
+		go s.leaveStore() // the drain needs no quorum
 	}
 	s.shutDownWith(func(fronts []core.Front) { s.core.Shutdown(noticedMS, s.cfg.StopTimeoutMS, fronts...) })
 }
 
+// leaveStore marks this server in the store as draining and hands over the leadership of its replica. It does so at the
+// start of the drain: callers may keep the process until it is killed.
+func (s *server) leaveStore() {
+	logFailure(s.log, s.replica.Set(drainKeyPrefix+s.cfg.Name, []byte("draining")))
+	logFailure(s.log, s.replica.TransferLeadership())
+}
+
 // shutDownWith closes the fronts in the given way and releases the duties, and then closes drainDone. It does not wait.
 func (s *server) shutDownWith(closeFronts func([]core.Front)) {
 	var fronts []core.Front
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -519,6 +519,16 @@
 	}
 }
 
+// TransferLeadership hands the leadership over if this replica has it and there are others, so that writes need not wait for
+// an election when the process ends.
+func (s *Store) TransferLeadership() error {
+	r := s.active.Load()
+	if r == nil || len(s.o.Peers) < 2 || r.raft.State() != raft.Leader {
+		return nil
+	}
+	return r.raft.LeadershipTransfer().Error()
+}
+
 // Close stops the replica. A leader first transfers its leadership, so that writes need not wait for an election. If raft does not
 // shut down, its log stays open, since raft may still write to it; the process should exit.
 func (s *Store) Close() error {
