Test that the soak of drains tells each fault from the allowed cases

The soak's counts had no test of their own: a wrong bound would have passed unseen. Fields that nothing read are removed.

--- a/internal/lab/drain_soak_test.go
+++ b/internal/lab/drain_soak_test.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"reflect"
 	"runtime"
 	"slices"
 	"strconv"
@@ -111,7 +112,6 @@
 	operator string
 	executor *fakeExecutor
 	exited   chan struct{}
-	exitedMS float64
 }
 
 // drainRun is one run in progress.
@@ -127,9 +127,8 @@
 	clients *soakClients
 	welcome chan struct{} // closed when executors may send WELCOME
 
-	mu    sync.Mutex
-	runs  map[string]int // by request id
-	ranMS map[string]float64
+	mu   sync.Mutex
+	runs map[string]int // by request id
 }
 
 // drainResult is what one run counted.
@@ -153,7 +152,6 @@
 		r.mu.Lock()
 		defer r.mu.Unlock()
 		r.runs[id]++
-		r.ranMS[id] = r.clk.Now()
 	}
 	x.neverEnds = func(id string) bool {
 		n, _ := strconv.ParseUint(id, 16, 64)
@@ -197,7 +195,6 @@
 	}
 	go func() {
 		p.cmd.Wait()
-		p.exitedMS = r.clk.Now()
 		close(p.exited)
 	}()
 	r.t.Cleanup(func() {
@@ -292,7 +289,7 @@
 	}
 	t.Cleanup(func() { os.RemoveAll(dir) })
 	r := &drainRun{t: t, plan: plan, binary: binary, dir: dir, clk: clock.System(), clients: newSoakClients(plan.seed), welcome: make(chan struct{}),
-		runs: map[string]int{}, ranMS: map[string]float64{}}
+		runs: map[string]int{}}
 	if r.vault, err = newFakeVault(100); err != nil {
 		t.Fatal(err)
 	}
@@ -519,3 +516,51 @@
 	}
 	return b.String()
 }
+
+// Guards against a soak that counts a fault as allowed, or an allowed case as a fault.
+func TestDrainCheckFindsEachFault(t *testing.T) {
+	const sentMS, endMS = 10_000.0, 11_000.0
+	for _, c := range []struct {
+		name    string
+		request soakRequest
+		runs    int
+		termMS  float64
+		paused  [2]float64
+		want    drainResult
+	}{
+		{name: "served", request: soakRequest{answers: []string{"done"}}, runs: 1},
+		{name: "refused", request: soakRequest{answers: []string{"later"}}},
+		{name: "lost", request: soakRequest{}, want: drainResult{lost: 1}},
+		{name: "lost after closing", request: soakRequest{afterClosing: true}, want: drainResult{lost: 1}},
+		{name: "lost in the last moments, before closing", request: soakRequest{sentMS: endMS - 1}, want: drainResult{lost: 1}},
+		{name: "crossed the end", request: soakRequest{afterClosing: true, sentMS: endMS - crossingMS + 1}, want: drainResult{crossed: 1}},
+		{name: "just too early to have crossed the end", request: soakRequest{afterClosing: true, sentMS: endMS - crossingMS}, want: drainResult{lost: 1}},
+		{name: "sent to a stopped process", request: soakRequest{afterClosing: true, sentMS: endMS - 80}, paused: [2]float64{endMS - 90, endMS - 10}, want: drainResult{crossed: 1}},
+		{name: "sent long before a stop", request: soakRequest{afterClosing: true}, paused: [2]float64{endMS - 90, endMS - 10}, want: drainResult{lost: 1}},
+		{name: "answered twice", request: soakRequest{answers: []string{"done", "error"}}, runs: 1, want: drainResult{twice: 1}},
+		{name: "run twice", request: soakRequest{answers: []string{"done"}}, runs: 2, want: drainResult{ranTwice: 1}},
+		{name: "run and refused", request: soakRequest{answers: []string{"later"}}, runs: 1, want: drainResult{ranRefused: 1}},
+		{name: "run after the grace", request: soakRequest{answers: []string{"done"}}, runs: 1, termMS: sentMS - drainGraceMS - ruleToleranceMS - 1, want: drainResult{ranLate: 1}},
+		{name: "run at the end of the grace", request: soakRequest{answers: []string{"done"}}, runs: 1, termMS: sentMS - drainGraceMS - ruleToleranceMS},
+	} {
+		q := c.request
+		q.id, q.endMS = "a", endMS
+		if q.sentMS == 0 {
+			q.sentMS = sentMS
+		}
+		if c.termMS == 0 {
+			c.termMS = sentMS
+		}
+		r := &drainRun{clients: &soakClients{requests: []*soakRequest{&q}}, runs: map[string]int{q.id: c.runs}}
+		var got drainResult
+		r.check(&got, c.termMS, c.paused)
+		wantFaults := c.want.lost + c.want.twice + c.want.ranTwice + c.want.ranRefused + c.want.ranLate
+		if len(got.faults) != wantFaults {
+			t.Errorf("%s: faults %q, want %d", c.name, got.faults, wantFaults)
+		}
+		got.faults, got.lastMomentsMS, c.want.requests = nil, nil, 1
+		if !reflect.DeepEqual(got, c.want) {
+			t.Errorf("%s: counted %+v, want %+v", c.name, got, c.want)
+		}
+	}
+}
