Add a soak of stops around the last answers of a drain, known to fail

Callers see: a process that is stopped for 52 to 60 ms from 58 to 66 ms before the kill goes on too late to write the module's last answers, due 60 ms before the stop. Requests sent up to 1.5 s before get none.

--- a/internal/lab/drain_soak_test.go
+++ b/internal/lab/drain_soak_test.go
@@ -105,6 +105,17 @@
 	return p
 }
 
+// newLastAnswersPlan returns a plan in which the process is stopped for 52 to 60 ms from 58 to 66 ms before the kill, that is,
+// around the time of the module's last answers.
+func newLastAnswersPlan(seed uint64) drainPlan {
+	rng := rand.New(rand.NewPCG(seed, 32))
+	p := newDrainPlan(seed)
+	p.kind, p.neverEnds, p.busyProcesses, p.gateways = stoppedRun, 0.4, 0, 0
+	p.stopMS = 700 + rng.Float64()*500
+	p.pauseBeforeMS, p.pauseMS = 58+rng.Float64()*8, 52+rng.Float64()*8
+	return p
+}
+
 // drainProcess is one process of the program under test.
 type drainProcess struct {
 	cmd      *exec.Cmd
@@ -464,7 +475,14 @@
 
 // Guards against requests without exactly one answer, and other broken rules of the protocol, while a process is drained or
 // replaced. Clients send until the kill, which comes as early as the platform may send it.
-func TestDrainSoak(t *testing.T) {
+func TestDrainSoak(t *testing.T) { playSoak(t, newDrainPlan) }
+
+// Guards against requests that get no answer because the process is stopped when the module's last answers are due and goes
+// on just before the kill.
+func TestDrainSoakStoppedAtLastAnswers(t *testing.T) { playSoak(t, newLastAnswersPlan) }
+
+// playSoak plays the plans of all seeds and fails the test if a run has a fault.
+func playSoak(t *testing.T, newPlan func(seed uint64) drainPlan) {
 	seeds, err := soakSeeds()
 	if err != nil {
 		t.Fatalf("%s: %v", soakSeedsEnv, err)
@@ -473,7 +491,7 @@
 	results := map[drainKind][]drainResult{}
 	failed := map[drainKind]int{}
 	for _, seed := range seeds {
-		plan := newDrainPlan(seed)
+		plan := newPlan(seed)
 		result := playDrain(t, binary, plan) // one after another: a run beside others would disturb them
 		results[plan.kind] = append(results[plan.kind], result)
 		if len(result.faults) == 0 {
@@ -481,8 +499,8 @@
 		}
 		failed[plan.kind]++
 		shown := result.faults[:min(len(result.faults), 5)]
-		t.Errorf("%d faults in a %s run: %s\nplan: %+v\nto play it again: %s=%d go test -count=1 -run '^TestDrainSoak$' ./internal/lab",
-			len(result.faults), plan.kind, strings.Join(shown, "\n  "), plan, soakSeedsEnv, seed)
+		t.Errorf("%d faults in a %s run: %s\nplan: %+v\nto play it again: %s=%d go test -count=1 -run '^%s$' ./internal/lab",
+			len(result.faults), plan.kind, strings.Join(shown, "\n  "), plan, soakSeedsEnv, seed, t.Name())
 	}
 	t.Log("\n" + soakTable(results, failed))
 }
