Let the clock move on in the test of a stop timeout that has passed

Cause: the test, not the server. It sets a manual clock past the stop and leaves it there. If WELCOME is handled in a call of its own between the move of the clock and SIGTERM, the notice waits one tick, which never passes on a clock that stands still. The real clock goes on.

Change: after SIGTERM the test moves the clock by 1 ms each millisecond. It stays as strict: the bound of a minute is unchanged, and the end must now be logged as one by the last answers, so that the deadline 1 s after the stop can't pass for it.

--- a/cmd/puffinsaddle/main_test.go
+++ b/cmd/puffinsaddle/main_test.go
@@ -453,13 +453,23 @@
 	clk.Set(1.7e12 + 1e7 + 1) // the stop timeout of 1e7 ms has passed
 	close(read)
 	signals <- termination
-	select {
-	case err := <-done:
-		if err != nil {
-			t.Error(err)
+	// From here on the clock moves on, since the module is called at most once a tick.
+	timeout := time.After(time.Minute)
+	for ended := false; !ended; {
+		select {
+		case err := <-done:
+			if err != nil {
+				t.Error(err)
+			}
+			ended = true
+		case <-timeout:
+			t.Fatal("the process still runs after its stop timeout")
+		case <-time.After(time.Millisecond):
+			clk.Set(clk.Now() + 1)
 		}
-	case <-time.After(time.Minute):
-		t.Error("the process still runs after its stop timeout")
+	}
+	if line := lines.waitFor(t, "leaving"); !strings.Contains(line, "all requests answered before the stop") {
+		t.Errorf("the process did not end by its last answers: %s", line)
 	}
 }
 
