Log answers owed at a stop before the kill, also if the module hangs

What operators saw: nothing. If the module never gave its last answers, the process logged what it owed only 1 s after the stop, and the kill comes at the stop. If it gave them and they could not be written, the warning came at the stop itself, at the same moment as the kill.

Cause: the warning was part of the closing of connections, which begins with the module's last answers, and its time was that of the kill.

Change: what is owed is logged once, 10 ms before the stop, in the wait for the last answers too. The message is now "answers are owed shortly before the stop".

--- a/internal/core/departure.go
+++ b/internal/core/departure.go
@@ -7,6 +7,9 @@
 	// on it.
 	closeBeforeMS = 25.0
 
+	// What is owed this long before the stop is logged, since the process may be killed at the stop.
+	warnBeforeMS = 10.0
+
 	// A process that is not killed at the stop keeps its connections for this long if it still owes answers on them.
 	lateAnswersMS = 1000.0
 
@@ -36,6 +39,7 @@
 	message         string  // of the log line at the end
 
 	stoppedAccepting bool
+	warned           bool // what is owed shortly before the stop is logged
 }
 
 // run closes each connection once nothing is owed on it. It begins when the process is quiescent, or after the module's last
@@ -75,6 +79,7 @@
 		if now >= d.deadline() {
 			return closeDeadline
 		}
+		d.warnOfOwed(now, Owed{Answers: d.core.Unanswered()})
 		time.Sleep(pollInterval)
 	}
 }
@@ -94,7 +99,7 @@
 // returns what is still owed, and whether all connections were closed in time.
 func (d *departure) closeSettled() (owed Owed, complete bool) {
 	d.stopAccepting()
-	for warned := false; ; time.Sleep(closePollInterval) {
+	for ; ; time.Sleep(closePollInterval) {
 		owed = Owed{}
 		for _, f := range d.fronts {
 			owed.Add(f.CloseSettled())
@@ -103,12 +108,18 @@
 		if owed.Total() == 0 || now >= d.deadline() {
 			return owed, owed.Total() == 0
 		}
-		if now >= d.stopAt && !warned {
-			warned = true // the process may be killed at any moment
-			d.core.log.Warn().Int("unanswered", owed.Answers).Int("unwritten", owed.Writes).Int("unread", owed.Reads).
-				Msg("answers are owed at the stop")
-		}
+		d.warnOfOwed(now, owed)
+	}
+}
+
+// warnOfOwed logs, once, what is owed warnBeforeMS before the stop or later.
+func (d *departure) warnOfOwed(now float64, owed Owed) {
+	if d.warned || now < d.stopAt-warnBeforeMS || owed.Total() == 0 {
+		return
 	}
+	d.warned = true
+	d.core.log.Warn().Int("unanswered", owed.Answers).Int("unwritten", owed.Writes).Int("unread", owed.Reads).
+		Msg("answers are owed shortly before the stop")
 }
 
 // quiescent reports whether no request is open and all output is written.
