Read the configuration for a reload beside the handling of signals

What callers saw: not observed. By the code, a process whose reload hung, such as on a disk that doesn't respond, did not handle SIGTERM: no "closing", and the kill with requests open.

Cause: the goroutine that handles signals read the file itself.

Change: the file is read on its own goroutine, one read at a time; the result is applied by the goroutine that handles signals. SIGHUP during a read causes one more read after it.

--- a/cmd/puffinsaddle/server.go
+++ b/cmd/puffinsaddle/server.go
@@ -39,10 +39,9 @@
 
 // server is one order server with the parts that it is assembled from. Parts that are not configured are nil.
 type server struct {
-	cfg  *config.Config // as read at the start
-	load func() (*config.Config, error)
-	clk  *clock.Clock
-	log  zerolog.Logger
+	cfg *config.Config // as read at the start
+	clk *clock.Clock
+	log zerolog.Logger
 
 	core        *core.Core
 	link        *executor.Link // nil if uwsgi servers run the requests
@@ -63,7 +62,7 @@
 	executorUp chan struct{}
 	draining   bool
 	drainDone  chan struct{}
-	reloads    reloads
+	reloads    *reloads
 }
 
 // run assembles the server and serves until a drain has completed. load reads the configuration again for a reload.
@@ -73,7 +72,7 @@
 
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	s := &server{cfg: cfg, load: load, clk: clk, log: log, executorUp: make(chan struct{}, 1), drainDone: make(chan struct{}), reloads: reloads{current: cfg}}
+	s := &server{cfg: cfg, clk: clk, log: log, executorUp: make(chan struct{}, 1), drainDone: make(chan struct{}), reloads: newReloads(cfg, load)}
 	defer s.close(ctx)
 	for _, assemble := range []func(context.Context) error{s.openState, s.newCore, s.openFronts, s.serveOperators} {
 		if err := assemble(ctx); err != nil {
@@ -229,10 +228,12 @@
 		case received := <-signals:
 			switch {
 			case received.Signal == syscall.SIGHUP: // also during a drain: attempts in flight need the new addresses until they end
-				s.reloads.run(s.load, s.log, s.apply)
+				s.reloads.request()
 			case !s.draining:
 				s.drain(received.arrivedMS)
 			}
+		case read := <-s.reloads.done:
+			s.reloads.finish(read, s.log, s.apply)
 		case <-s.executorUp:
 			if !s.ready.Load() && !s.draining { // until now, the predecessor served these sockets
 				s.startServing()
