Give the last answers of a drain 100 ms before the stop

What callers saw: a process that was stopped, or got no processor, for some 55 ms just before its kill left requests without an answer that had been sent up to 1.6 s earlier.

Cause: the module answers all open requests 60 ms before the stop. A process that isn't scheduled for as long goes on at the kill, or a few milliseconds before it, too late to write.

Why this works: after a stop of up to 60 ms at any moment, 40 ms are left to be scheduled, to answer and to write.

--- a/internal/lab/drain_soak_test.go
+++ b/internal/lab/drain_soak_test.go
@@ -33,6 +33,8 @@
 	drainGraceMS    = 1000.0           // rules.drainGrace of the lab's settings
 	exitTimeout     = 5 * time.Second  // for the system to end a killed process
 	afterKillMS     = 200.0            // clients go on for this long
+
+	lastAnswersBeforeMS = 100.0 // from the module's last answers to the kill
 )
 
 // drainKind selects what disturbs a run.
@@ -105,8 +107,8 @@
 	return p
 }
 
-// newLastAnswersPlan returns a plan in which the process is stopped for 52 to 60 ms from 58 to 66 ms before the kill, that is,
-// around the time of the module's last answers.
+// newLastAnswersPlan returns a plan in which the process is stopped for 52 to 60 ms from 58 to 66 ms before the kill. It goes
+// on just before the kill, if at all.
 func newLastAnswersPlan(seed uint64) drainPlan {
 	rng := rand.New(rand.NewPCG(seed, 32))
 	p := newDrainPlan(seed)
@@ -116,6 +118,13 @@
 	return p
 }
 
+// newBeforeLastAnswersPlan is newLastAnswersPlan with a stop that begins 4 ms before to 4 ms after the module's last answers.
+func newBeforeLastAnswersPlan(seed uint64) drainPlan {
+	p := newLastAnswersPlan(seed)
+	p.pauseBeforeMS += lastAnswersBeforeMS - 62
+	return p
+}
+
 // drainProcess is one process of the program under test.
 type drainProcess struct {
 	cmd      *exec.Cmd
@@ -481,6 +490,10 @@
 // on just before the kill.
 func TestDrainSoakStoppedAtLastAnswers(t *testing.T) { playSoak(t, newLastAnswersPlan) }
 
+// Guards against requests that get no answer because the process is stopped for up to 60 ms as the module's last answers are
+// due.
+func TestDrainSoakStoppedBeforeLastAnswers(t *testing.T) { playSoak(t, newBeforeLastAnswersPlan) }
+
 // playSoak plays the plans of all seeds and fails the test if a run has a fault.
 func playSoak(t *testing.T, newPlan func(seed uint64) drainPlan) {
 	seeds, err := soakSeeds()
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -28,7 +28,7 @@
 	estimateDecay     = 0.8                   // reduces an estimate that refused everything, to test it
 	hopelessMargin    = 1.0                   // hopeless: less time left than this many estimated runs
 	doubtfulMargin    = 2.5                   // doubtful: less than this many; refused if others wait
-	stopMargin        = 60 * time.Millisecond // all requests are answered this long before the stop
+	stopMargin        = time.Second / 10      // all requests are answered this long before the stop
 	maxCallAttempts   = 8                     // attempts of a call that provably did not run
 	callBackoff       = 30 * time.Millisecond // first wait between such attempts; doubles
 	retryAfterShare   = 0.25                  // longest wait advised, as a part of MaxRetryAfter
