Count every response to a gateway's request in the soak of drains

The soak's gateways read one response and closed the connection, so a second response to one request would not have been counted. They now read until the connection ends; each complete response, and a rest that is none after one, counts as an answer.

TestGatewayReadsAllResponses covers the reading.

--- a/internal/lab/drain_clients_test.go
+++ b/internal/lab/drain_clients_test.go
@@ -213,7 +213,7 @@
 	}
 }
 
-// sendByGateway sends one request, or a part of one, and reads the response.
+// sendByGateway sends one request, or a part of one, and reads all responses.
 func (s *soakClients) sendByGateway(socket net.Conn, id string, partial bool) {
 	defer socket.Close()
 	b := uwsgiPacket("ORDER_CLASS", bookingClass, "ORDER_ID", id)
@@ -227,13 +227,30 @@
 		return
 	}
 	q.sentMS = s.clk.Now()
-	response, err := http.ReadResponse(bufio.NewReader(socket), nil)
-	if err == nil {
-		_, err = io.Copy(io.Discard, response.Body)
-	}
+	q.answers = readResponses(socket)
 	q.endMS = s.clk.Now()
-	if err == nil {
-		q.answers = append(q.answers, map[int]string{http.StatusOK: "done", http.StatusServiceUnavailable: "later"}[response.StatusCode])
+}
+
+// readResponses reads responses until the connection ends, and returns one answer for each complete one. Bytes that are
+// no complete response count as one more answer if a response came before them.
+func readResponses(socket io.Reader) (answers []string) {
+	reader := bufio.NewReader(socket)
+	for {
+		if _, err := reader.Peek(1); err != nil {
+			return answers
+		}
+		response, err := http.ReadResponse(reader, nil)
+		if err == nil {
+			_, err = io.Copy(io.Discard, response.Body)
+		}
+		switch {
+		case err == nil:
+			answers = append(answers, map[int]string{http.StatusOK: "done", http.StatusServiceUnavailable: "later"}[response.StatusCode])
+		case len(answers) > 0:
+			return append(answers, "incomplete")
+		default:
+			return nil
+		}
 	}
 }
 
--- a/internal/lab/drain_soak_test.go
+++ b/internal/lab/drain_soak_test.go
@@ -595,3 +595,23 @@
 		}
 	}
 }
+
+// Guards against a soak that does not see that a gateway gets more than one response.
+func TestGatewayReadsAllResponses(t *testing.T) {
+	const done, refused = "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na", "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"
+	for input, want := range map[string][]string{
+		"":                      nil,
+		done[:20]:               nil,
+		done[:len(done)-1]:      nil,
+		done:                    {"done"},
+		refused:                 {"later"},
+		done + done:             {"done", "done"},
+		done + refused:          {"done", "later"},
+		refused + done[:20]:     {"later", "incomplete"},
+		done + "bytes after it": {"done", "incomplete"},
+	} {
+		if got := readResponses(strings.NewReader(input)); !slices.Equal(got, want) {
+			t.Errorf("%q: answers %q, want %q", input, got, want)
+		}
+	}
+}
