Share the set-up of servers in the tests of the command and the core

Writing a configuration file, reading it and running a server with it stood six times in the tests of cmd/puffinsaddle, and the core with a log twice.

--- a/cmd/puffinsaddle/main_test.go
+++ b/cmd/puffinsaddle/main_test.go
@@ -119,39 +119,25 @@
 // On SIGHUP, an invalid file is reported by its key and changes nothing. A valid one moves the executor's link and the
 // membership reports to their new addresses, both before WELCOME and during a drain, and the process continues.
 func TestReloadMovesAddressesAndRejectsInvalidFile(t *testing.T) {
-	path := filepath.Join(t.TempDir(), "config.json")
-	load := func() (*config.Config, error) {
-		return config.Load(func(k string) string { return map[string]string{"RELAY_CONFIG": path}[k] })
-	}
-	write := func(s string) {
-		if err := os.WriteFile(path, []byte(s), 0o600); err != nil {
-			t.Fatal(err)
-		}
-	}
 	first, firstJoins := startFakeExecutor(t, "")
 	second, secondJoins := startFakeExecutor(t, "")
 	third, thirdJoins := startFakeExecutor(t, "")
 	m1, m2 := fakeMembers(t), fakeMembers(t)
-	write(fmt.Sprintf(configTemplate, first, m1.LocalAddr()))
-	cfg, err := load()
-	if err != nil {
-		t.Fatal(err)
-	}
-	lines, signals, done := make(logLines, 1000), make(chan receivedSignal), make(chan error, 1)
-	go func() { done <- run(cfg, load, signals, clock.System(), zerolog.New(lines)) }()
+	file := newConfigFile(t, "", fmt.Sprintf(configTemplate, first, m1.LocalAddr()))
+	lines, signals, done := startServer(file)
 	if j := <-firstJoins; j != "JOIN 0" {
 		t.Fatalf("joined with %q", j)
 	}
 	if r := readReport(t, m1); r != "HB n1 UP" {
 		t.Fatalf("reported %q", r)
 	}
-	write(strings.Replace(fmt.Sprintf(configTemplate, second, m2.LocalAddr()), `"stop_ms":1e7`, `"stop_ms":"soon"`, 1))
+	file.write(strings.Replace(fmt.Sprintf(configTemplate, second, m2.LocalAddr()), `"stop_ms":1e7`, `"stop_ms":"soon"`, 1))
 	signals <- signalNow(syscall.SIGHUP)
 	lines.waitFor(t, "stop_ms")
-	write(strings.Replace(fmt.Sprintf(configTemplate, second, m2.LocalAddr()), `"stop_ms":1e7,`, "", 1)) // valid only at a start
+	file.write(strings.Replace(fmt.Sprintf(configTemplate, second, m2.LocalAddr()), `"stop_ms":1e7,`, "", 1)) // valid only at a start
 	signals <- signalNow(syscall.SIGHUP)
 	lines.waitFor(t, "the file in force has it")
-	write(fmt.Sprintf(configTemplate, second, m2.LocalAddr()))
+	file.write(fmt.Sprintf(configTemplate, second, m2.LocalAddr()))
 	signals <- signalNow(syscall.SIGHUP)
 	if j := <-secondJoins; j != "JOIN 0" {
 		t.Fatalf("joined with %q", j)
@@ -164,7 +150,7 @@
 	}
 	signals <- signalNow(syscall.SIGTERM)
 	lines.waitFor(t, "draining")
-	write(fmt.Sprintf(configTemplate, third, m2.LocalAddr()))
+	file.write(fmt.Sprintf(configTemplate, third, m2.LocalAddr()))
 	signals <- signalNow(syscall.SIGHUP)
 	select {
 	case <-thirdJoins:
@@ -182,20 +168,7 @@
 func newServerStarterWithMembers(t *testing.T, members net.PacketConn) func(executor string) (logLines, chan receivedSignal, chan error) {
 	private := t.TempDir()
 	return func(executor string) (logLines, chan receivedSignal, chan error) {
-		path := filepath.Join(t.TempDir(), "config.json")
-		if err := os.WriteFile(path, []byte(fmt.Sprintf(configTemplate, executor, members.LocalAddr())), 0o600); err != nil {
-			t.Fatal(err)
-		}
-		load := func() (*config.Config, error) {
-			return config.Load(func(k string) string { return map[string]string{"RELAY_CONFIG": path, "TMPDIR": private}[k] })
-		}
-		cfg, err := load()
-		if err != nil {
-			t.Fatal(err)
-		}
-		lines, signals, done := make(logLines, 1000), make(chan receivedSignal), make(chan error, 1)
-		go func() { done <- run(cfg, load, signals, clock.System(), zerolog.New(lines)) }()
-		return lines, signals, done
+		return startServer(newConfigFile(t, private, fmt.Sprintf(configTemplate, executor, members.LocalAddr())))
 	}
 }
 
@@ -336,7 +309,6 @@
 // free shortly after. Guards against a start that fails meanwhile.
 func TestStartWhilePredecessorExits(t *testing.T) {
 	private := t.TempDir()
-	path := filepath.Join(t.TempDir(), "config.json")
 	old, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -357,19 +329,11 @@
 	}()
 	executor, _ := startFakeExecutor(t, "WELCOME steady 5\r\n")
 	file := strings.Replace(fmt.Sprintf(configTemplate, executor, fakeMembers(t).LocalAddr()), "127.0.0.1:0", old.Addr().String(), 1)
-	if err := os.WriteFile(path, []byte(file), 0o600); err != nil {
-		t.Fatal(err)
-	}
-	load := func() (*config.Config, error) {
-		return config.Load(func(k string) string { return map[string]string{"RELAY_CONFIG": path, "TMPDIR": private}[k] })
-	}
-	cfg, err := load()
-	if err != nil {
-		t.Fatal(err)
-	}
+	configuration := newConfigFile(t, private, file)
+	cfg := configuration.mustLoad()
 	lines, signals, done := make(logLines, 1000), make(chan receivedSignal), make(chan error, 1)
 	go func() {
-		err := run(cfg, load, signals, clock.System(), zerolog.New(lines))
+		err := run(cfg, configuration.load, signals, clock.System(), zerolog.New(lines))
 		done <- err
 		if err != nil {
 			close(lines)
@@ -384,28 +348,14 @@
 // Signals before the executor is up: a reload of an empty or truncated file changes nothing. SIGTERM arrives twice, with a
 // reload in between, and the process ends within its stop timeout.
 func TestSignalsBeforeExecutorIsUp(t *testing.T) {
-	path := filepath.Join(t.TempDir(), "config.json")
-	load := func() (*config.Config, error) {
-		return config.Load(func(k string) string { return map[string]string{"RELAY_CONFIG": path}[k] })
-	}
 	executor, joins := startFakeExecutor(t, "")
 	members := fakeMembers(t)
 	file := strings.Replace(fmt.Sprintf(configTemplate, executor, members.LocalAddr()), `"stop_ms":1e7`, `"stop_ms":300`, 1)
-	write := func(s string) {
-		if err := os.WriteFile(path, []byte(s), 0o600); err != nil {
-			t.Fatal(err)
-		}
-	}
-	write(file)
-	cfg, err := load()
-	if err != nil {
-		t.Fatal(err)
-	}
-	lines, signals, done := make(logLines, 10000), make(chan receivedSignal), make(chan error, 1)
-	go func() { done <- run(cfg, load, signals, clock.System(), zerolog.New(lines)) }()
+	configuration := newConfigFile(t, "", file)
+	lines, signals, done := startServer(configuration)
 	<-joins
 	for n := 0; n < len(file); n += 7 {
-		write(file[:n])
+		configuration.write(file[:n])
 		signals <- signalNow(syscall.SIGHUP)
 		lines.waitFor(t, "stays in force")
 	}
@@ -413,7 +363,7 @@
 		t.Error("the link joined the executor again")
 	}
 	signals <- signalNow(syscall.SIGTERM)
-	write(file)
+	configuration.write(file)
 	signals <- signalNow(syscall.SIGHUP)
 	signals <- signalNow(syscall.SIGTERM)
 	lines.waitFor(t, "configuration read again")
@@ -426,23 +376,14 @@
 // SIGTERM arrives during a reload that hangs until the stop timeout has passed. The timeout counts from the signal's arrival,
 // not from its handling; otherwise the platform would kill the process with requests in flight.
 func TestStopTimeoutCountsFromSignalArrival(t *testing.T) {
-	path := filepath.Join(t.TempDir(), "config.json")
 	executor, joins := startFakeExecutor(t, "WELCOME steady 5\r\n")
-	if err := os.WriteFile(path, []byte(fmt.Sprintf(configTemplate, executor, fakeMembers(t).LocalAddr())), 0o600); err != nil {
-		t.Fatal(err)
-	}
-	load := func() (*config.Config, error) {
-		return config.Load(func(k string) string { return map[string]string{"RELAY_CONFIG": path}[k] })
-	}
-	cfg, err := load()
-	if err != nil {
-		t.Fatal(err)
-	}
+	file := newConfigFile(t, "", fmt.Sprintf(configTemplate, executor, fakeMembers(t).LocalAddr()))
+	cfg := file.mustLoad()
 	reading, read := make(chan struct{}), make(chan struct{})
 	hangingLoad := func() (*config.Config, error) {
 		close(reading)
 		<-read
-		return load()
+		return file.load()
 	}
 	clk, lines, signals, done := clock.Manual(1.7e12), make(logLines, 1000), make(chan receivedSignal), make(chan error, 1)
 	go func() { done <- run(cfg, hangingLoad, signals, clk, zerolog.New(lines)) }()
@@ -569,20 +510,9 @@
 // hands over its leadership, only after the timeout of that call, when the process has been killed.
 func TestIncompleteOperatorCallDoesNotDelayExit(t *testing.T) {
 	executor, _ := startFakeExecutor(t, "WELCOME steady 5\r\n")
-	path, operator := filepath.Join(t.TempDir(), "config.json"), freePort(t)
+	operator := freePort(t)
 	file := strings.Replace(fmt.Sprintf(configTemplate, executor, fakeMembers(t).LocalAddr()), `"stop_ms":1e7`, fmt.Sprintf(`"stop_ms":600,"operator":%q`, operator), 1)
-	if err := os.WriteFile(path, []byte(file), 0o600); err != nil {
-		t.Fatal(err)
-	}
-	load := func() (*config.Config, error) {
-		return config.Load(func(k string) string { return map[string]string{"RELAY_CONFIG": path}[k] })
-	}
-	cfg, err := load()
-	if err != nil {
-		t.Fatal(err)
-	}
-	lines, signals, done := make(logLines, 1000), make(chan receivedSignal), make(chan error, 1)
-	go func() { done <- run(cfg, load, signals, clock.System(), zerolog.New(lines)) }()
+	lines, signals, done := startServer(newConfigFile(t, "", file))
 	lines.waitFor(t, "serving operators")
 	signals <- signalNow(syscall.SIGTERM)
 	lines.waitFor(t, "draining")
--- a/cmd/puffinsaddle/reload_test.go
+++ b/cmd/puffinsaddle/reload_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"fmt"
-	"os"
-	"path/filepath"
 	"strings"
 	"syscall"
 	"testing"
@@ -17,16 +15,9 @@
 // SIGTERM arrives during a reload that never ends, such as one from a disk that does not respond. Guards against a process
 // that does not drain and is killed with requests in flight.
 func TestDrainDoesNotWaitForReload(t *testing.T) {
-	path := filepath.Join(t.TempDir(), "config.json")
 	executor, joins := startFakeExecutor(t, "WELCOME steady 5\r\n")
 	file := strings.Replace(fmt.Sprintf(configTemplate, executor, fakeMembers(t).LocalAddr()), `"stop_ms":1e7`, `"stop_ms":300`, 1)
-	if err := os.WriteFile(path, []byte(file), 0o600); err != nil {
-		t.Fatal(err)
-	}
-	cfg, err := config.Load(func(k string) string { return map[string]string{"RELAY_CONFIG": path}[k] })
-	if err != nil {
-		t.Fatal(err)
-	}
+	cfg := newConfigFile(t, "", file).mustLoad()
 	reading, released := make(chan struct{}), make(chan struct{})
 	defer close(released)
 	load := func() (*config.Config, error) {
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -48,9 +48,13 @@
 }
 
 func newFixture(t *testing.T, effectLog EffectLog) *fixture {
+	return newFixtureWithLog(t, effectLog, zerolog.Nop())
+}
+
+func newFixtureWithLog(t *testing.T, effectLog EffectLog, log zerolog.Logger) *fixture {
 	h := &fakeRunner{make(chan *Attempt, 10)}
 	clk := clock.Manual(startMS)
-	c := New(clk, zerolog.Nop(), testSettings, 1, h, h, effectLog)
+	c := New(clk, log, testSettings, 1, h, h, effectLog)
 	c.RunnerStarted(false)
 	go c.Run()
 	t.Cleanup(c.Stop)
--- a/internal/core/departure_test.go
+++ b/internal/core/departure_test.go
@@ -6,8 +6,6 @@
 	"time"
 
 	"github.com/rs/zerolog"
-
-	"puffinsaddle/internal/clock"
 )
 
 // owingFront is a fake Front on which something is always owed.
@@ -61,53 +59,49 @@
 	}
 }
 
+// newLoggedFixture returns a fixture whose core logs to the test.
+func newLoggedFixture(t *testing.T) (*fixture, logRecords) {
+	lines := make(logRecords, 100)
+	return newFixtureWithLog(t, nil, zerolog.New(lines)), lines
+}
+
 // The module hangs, so that it never gives its last answers. Guards against a process that is killed with open requests
 // and has not logged them.
 func TestOwedAnswersAreLoggedBeforeStop(t *testing.T) {
-	clk, lines := clock.Manual(startMS), make(logRecords, 100)
-	runner := &fakeRunner{make(chan *Attempt, 10)}
-	c := New(clk, zerolog.New(lines), testSettings, 1, runner, runner, nil)
-	c.RunnerStarted(false)
-	go c.Run()
-	t.Cleanup(c.Stop)
-	c.Open(&Request{ID: "0000000000000001", Class: "book", ArrivedAt: startMS, WaitMS: 3000, KB: 1}, func(Outcome) {})
-	<-runner.started
+	r, lines := newLoggedFixture(t)
+	r.open(1, "book", "", startMS)
+	<-r.runner.started
 	hangs, released := make(chan struct{}), make(chan struct{})
-	c.AfterPendingEvents(func() { close(hangs); <-released })
+	r.AfterPendingEvents(func() { close(hangs); <-released })
 	<-hangs
 	defer close(released)
 	shutdownDone := make(chan struct{})
 	go func() {
-		c.Shutdown(startMS, 1000, owingFront{Owed{Answers: 1, Writes: 2, Reads: 3}})
+		r.Shutdown(startMS, 1000, owingFront{Owed{Answers: 1, Writes: 2, Reads: 3}})
 		close(shutdownDone)
 	}()
-	clk.Set(startMS + 1000 - warnBeforeMS)
+	r.clock.Set(startMS + 1000 - warnBeforeMS)
 	lines.want(t, logRecord{Message: "answers are owed shortly before the stop", Unanswered: 1})
-	clk.Set(startMS + 1000 + lateAnswersMS)
+	r.clock.Set(startMS + 1000 + lateAnswersMS)
 	lines.want(t, logRecord{Message: "leaving", Reason: closeDeadline, Owed: 6, Unanswered: 1, Unwritten: 2, Unread: 3})
 	<-shutdownDone
 }
 
 // A caller does not read its answer. Guards against a process that is killed with unwritten answers and has not logged them.
 func TestUnwrittenAnswersAreLoggedBeforeStop(t *testing.T) {
-	clk, lines := clock.Manual(startMS), make(logRecords, 100)
-	runner := &fakeRunner{make(chan *Attempt, 10)}
-	c := New(clk, zerolog.New(lines), testSettings, 1, runner, runner, nil)
-	c.RunnerStarted(false)
-	go c.Run()
-	t.Cleanup(c.Stop)
+	r, lines := newLoggedFixture(t)
 	shutdownDone := make(chan struct{})
 	go func() {
-		c.Shutdown(startMS, 1000, owingFront{Owed{Writes: 2}})
+		r.Shutdown(startMS, 1000, owingFront{Owed{Writes: 2}})
 		close(shutdownDone)
 	}()
-	for now := startMS; !c.hasStopped(); now = min(now+10, startMS+1000-warnBeforeMS-1) {
-		clk.Set(now)
+	for now := startMS; !r.hasStopped(); now = min(now+10, startMS+1000-warnBeforeMS-1) {
+		r.clock.Set(now)
 		time.Sleep(time.Millisecond)
 	}
-	clk.Set(startMS + 1000 - warnBeforeMS)
+	r.clock.Set(startMS + 1000 - warnBeforeMS)
 	lines.want(t, logRecord{Message: "answers are owed shortly before the stop", Unwritten: 2})
-	clk.Set(startMS + 1000 + lateAnswersMS)
+	r.clock.Set(startMS + 1000 + lateAnswersMS)
 	lines.want(t, logRecord{Message: "leaving", Reason: closeDeadline, Owed: 2, Unwritten: 2})
 	<-shutdownDone
 }
