Reject infinite times and sizes in the operator's file

What operators saw: nothing; `uwsgi.read_ms`, `uwsgi.kb`, `duties.presence_ms` and `relay.memory_mb` accepted `.inf`, which YAML admits as a number. As a duration it overflows.

Cause: each check compared with 0 alone; others of the same file exclude infinite values.

Change: the check that duties had for it is shared.

--- a/internal/config/distribution.go
+++ b/internal/config/distribution.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"math"
 	"net"
 
 	"puffinsaddle/internal/distribution"
@@ -83,7 +84,7 @@
 		return fmt.Errorf("relay.watchers must be from 1 to %d, not %d", watcherLimit, r.MaxWatchers)
 	case r.MaxSnapshots < 1 || r.MaxSnapshots > r.MaxWatchers:
 		return fmt.Errorf("relay.snapshots must be from 1 to relay.watchers, not %d", r.MaxSnapshots)
-	case !(r.MemoryLimitMB >= 0):
+	case !(r.MemoryLimitMB >= 0) || math.IsInf(r.MemoryLimitMB, 0):
 		return fmt.Errorf("relay.memory_mb must be 0 or more, not %v", r.MemoryLimitMB)
 	}
 	return nil
--- a/internal/config/duties.go
+++ b/internal/config/duties.go
@@ -133,21 +133,20 @@
 	if err := d.Rules().Check(); err != nil {
 		return fmt.Errorf("duties.%w", err)
 	}
-	positiveFinite := func(v float64) bool { return v > 0 && !math.IsInf(v, 0) }
 	switch {
 	case len(d.List) > maxDuties:
 		return fmt.Errorf("duties.list has %d duties; the maximum is %d", len(d.List), maxDuties)
 	case d.MaxSessions < 1 || d.MaxSessions > 1<<16:
 		return fmt.Errorf("duties.sessions must be from 1 to %d", 1<<16)
-	case !(d.PresenceTTLMS > 0):
+	case !isPositiveFinite(d.PresenceTTLMS):
 		return errors.New("duties.presence_ms must be above 0")
-	case !positiveFinite(d.MarkIntervalMS):
+	case !isPositiveFinite(d.MarkIntervalMS):
 		return errors.New("duties.mark_ms must be above 0")
-	case !positiveFinite(d.Allocation.IntervalMS):
+	case !isPositiveFinite(d.Allocation.IntervalMS):
 		return errors.New("duties.allot.every_ms must be above 0")
-	case !positiveFinite(d.Publish.IntervalMS):
+	case !isPositiveFinite(d.Publish.IntervalMS):
 		return errors.New("duties.publish.every_ms must be above 0")
-	case !positiveFinite(d.Resolution.IntervalMS):
+	case !isPositiveFinite(d.Resolution.IntervalMS):
 		return errors.New("duties.settle.every_ms must be above 0")
 	case !(d.Resolution.RetentionMS >= minEffectRetentionMS) || math.IsInf(d.Resolution.RetentionMS, 0):
 		return fmt.Errorf("duties.settle.keep_ms must be %.0f or more", minEffectRetentionMS)
@@ -155,7 +154,7 @@
 		return errors.New("duties.list has no publisher, but duties.publish.manifest is set")
 	}
 	if a := d.Allocation; a != (Allocation{IntervalMS: a.IntervalMS}) {
-		if !positiveFinite(a.Total) || !(a.ReservePerProcess >= 0) || math.IsInf(a.ReservePerProcess, 0) || a.Total > 1e9 {
+		if !isPositiveFinite(a.Total) || !(a.ReservePerProcess >= 0) || math.IsInf(a.ReservePerProcess, 0) || a.Total > 1e9 {
 			return fmt.Errorf("duties.allot.whole must be above 0 and duties.allot.alone 0 or more, not %v and %v",
 				a.Total, a.ReservePerProcess)
 		}
@@ -189,7 +188,7 @@
 		return fmt.Errorf("store.election_ms must be from %d to %d, not %v",
 			minElectionTimeoutMS, maxElectionTimeoutMS, st.ElectionTimeoutMS)
 	}
-	if !(st.CompareIntervalMS > 0) || math.IsInf(st.CompareIntervalMS, 0) {
+	if !isPositiveFinite(st.CompareIntervalMS) {
 		return fmt.Errorf("store.compare_ms must be above 0, not %v", st.CompareIntervalMS)
 	}
 	if len(st.Peers) == 0 {
--- a/internal/config/duties_test.go
+++ b/internal/config/duties_test.go
@@ -46,6 +46,7 @@
 		{"  publish:", "  settle: {keep_ms: 5}\n  publish:", "duties.settle.keep_ms must be 60000 or more"},
 		{"  publish:", "  sessions: 0\n  publish:", "duties.sessions must be from 1"},
 		{"  publish:", "  presence_ms: 0\n  publish:", "duties.presence_ms must be above 0"},
+		{"  publish:", "  presence_ms: .inf\n  publish:", "duties.presence_ms must be above 0"},
 		{"  publish:", "  mark_ms: .nan\n  publish:", "duties.mark_ms must be above 0"},
 		{"  publish:", "  clock_rate: 0.9\n  publish:", "duties.clock_rate must be from 0 to 0.5"},
 	} {
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"fmt"
+	"math"
 	"net"
 	"os"
 
@@ -115,12 +116,15 @@
 		return o, errors.New("uwsgi.max_body must be from 0 to 16 MiB")
 	case u.MaxResultBytes < 1024 || u.MaxResultBytes > 16<<20:
 		return o, errors.New("uwsgi.max_result must be from 1 KiB to 16 MiB")
-	case !(u.ReadTimeoutMS > 0):
+	case !isPositiveFinite(u.ReadTimeoutMS):
 		return o, errors.New("uwsgi.read_ms must be above 0")
 	case u.MaxConnections < 1:
 		return o, errors.New("uwsgi.connections must be 1 or more")
-	case !(u.DefaultRequestKB > 0):
+	case !isPositiveFinite(u.DefaultRequestKB):
 		return o, errors.New("uwsgi.kb must be above 0")
 	}
 	return o, nil
 }
+
+// isPositiveFinite reports whether a number is above 0 and neither infinite nor NaN, both of which YAML admits.
+func isPositiveFinite(v float64) bool { return v > 0 && !math.IsInf(v, 0) }
