Report a clients.marksRetry of the wrong type

What operators saw: a `settings.clients.marksRetry` that is not true or false read as false without an error, so that marked retries were guessed from their waits.

Cause: the errors of the object `clients` were not among those that are reported.

Evidence: the new case fails without the change (no error) and passes with it. The object stays optional.

--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -79,6 +79,8 @@
 		{"", "", "uwsgi: {kb: .inf}", "uwsgi.kb must be above 0"},
 		{"", "", "uwsgi: {read_ms: .inf}", "uwsgi.read_ms must be above 0"},
 		{"", "", "relay: {listen: '127.0.0.1:1', name: r, copies: {a: '127.0.0.1:2'}, memory_mb: .inf}", "relay.memory_mb must be 0 or more"},
+		{`"limits":{},"rules"`, `"limits":{},"clients":{"marksRetry":"yes"},"rules"`, "", `"marksRetry" is not`},
+		{`"limits":{},"rules"`, `"limits":{},"clients":7,"rules"`, "", `"clients" is not`},
 		{"", "", "store: {listen: ':1'}", "store.dir"},
 		{"", "", "store: {listen: ':1', dir: x}", "store.peers is missing"},
 		{"", "", "store: {listen: ':1', dir: x, compare_ms: .nan}", "store.compare_ms must be above 0"},
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -30,8 +30,10 @@
 	if limits.Bool("retryAfter") {
 		s.MaxRetryAfter = limits.Duration("maxRetryAfter")
 	}
-	if c := f.Get("clients"); c != nil {
-		s.MarksRetry = f.Object("clients").Bool("marksRetry")
+	clients := &Fields{} // optional
+	if f.Get("clients") != nil {
+		clients = f.Object("clients")
+		s.MarksRetry = clients.Bool("marksRetry")
 	}
 	switch extra.Text("halt") { // running requests are never stopped, but an unknown value is an error
 	case "", "none", "drop", "pause":
@@ -78,7 +80,7 @@
 			f.Err = t.Err
 		}
 	}
-	for _, g := range []*Fields{f, extra, rules, limits} {
+	for _, g := range []*Fields{f, extra, rules, limits, clients} {
 		if parent.Err == nil {
 			parent.Err = g.Err
 		}
