Compare all 200 changes in the test of a restored configuration set

The loop that compares a set with its restored copy left after its first change, so the test compared 1 of 200 stale changes.

--- a/internal/records/records_test.go
+++ b/internal/records/records_test.go
@@ -108,15 +108,15 @@
 		wantRecords(t, table, want)
 		restored := jsonRoundTrip(t, s)
 		for _, base := range []uint64{s.Revision() - 40, s.Revision() - 1} { // every replica must refuse the same changes as stale
+			original, copied := jsonRoundTrip(t, s), jsonRoundTrip(t, restored)
 			for range 200 {
 				c := randomChange(rng)
 				c.Base = base
-				_, a := jsonRoundTrip(t, s).Apply(c)
-				_, b := jsonRoundTrip(t, restored).Apply(c)
+				_, a := original.Apply(c)
+				_, b := copied.Apply(c)
 				if fmt.Sprint(a) != fmt.Sprint(b) {
 					t.Fatalf("seed %d: results differ: %v and %v", seed, a, b)
 				}
-				break
 			}
 		}
 		if s.OldestRevision() != s.Revision()-50 || restored.OldestRevision() != s.OldestRevision() {
