Wait for the accepted connection in the test of partial packets at a replacement

Cause: the test, not the server. It began the replacement right after it had connected. A connection that is still in the listen queue is left to the successor; the test has none, so the queue was reset with the socket.

The check is unchanged; the test waits until the front has the connection, which is the case that it is about.

--- a/internal/net/drain_test.go
+++ b/internal/net/drain_test.go
@@ -58,6 +58,9 @@
 func TestYieldAnswersPartialPacket(t *testing.T) {
 	_, h, clk := newKeyedServer(t, nil)
 	partial := h.gateway(packet("b", "ORDER_CLASS", "book-delivery")[:20], false)
+	for h.uwsgi.Flushed() { // until the connection is accepted; a queued one is left to the successor
+		time.Sleep(time.Millisecond)
+	}
 	yieldDone := make(chan struct{})
 	go func() {
 		h.core.YieldToSuccessor(startMS, 1200, h.uwsgi)
