--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -237,19 +237,6 @@
 // CallerIdleTimeout returns how long callers keep an idle connection; 0 if unknown.
 func (c *Core) CallerIdleTimeout() time.Duration { return time.Duration(c.callerIdleTimeout.Load()) }
 
-// recordEffect records a request in the effect log before it runs, and reports whether it may run. Safe requests need no
-// record.
-func (c *Core) recordEffect(q *Request, class policy.Class) (bool, error) {
-	if class.Safety == policy.Safe {
-		return true, nil
-	}
-	ok, err := c.effectLog.Begin(q.ID)
-	if err != nil {
-		c.log.Warn().Err(err).Str("id", q.ID).Msg("request not run: its effect could not be recorded")
-	}
-	return ok && err == nil, err
-}
-
 func (c *Core) send(h *Handler, e policy.Event) { c.inbox.Put(event{handler: h, event: e}) }
 
 // sendEnd sends the end of an attempt; the result is kept where other requests may share it.
--- a/internal/core/handler.go
+++ b/internal/core/handler.go
@@ -22,6 +22,7 @@
 	knownClass        bool         // the settings have this class
 	due               float64      // when the answer is due, in Unix milliseconds
 	answered          bool
+	gone              bool // the caller no longer waits
 	countedUnanswered bool // it counts as a request without an answer
 	countedActive     bool // it was accepted, and counts as active until it ends
 	ended             atomic.Bool
@@ -98,22 +99,25 @@
 // serve handles one request from its arrival to the end of its attempt. It sends events to the module with Core.send and
 // receives the module's actions through its inbox.
 func (h *Handler) serve() {
+	defer h.core.remove(h)
+	h.core.send(h, policy.Arrived{ID: h.id})
+	if h.awaitStart() && h.recordEffect() {
+		h.run()
+	}
+}
+
+// awaitStart waits until the module starts the request. It returns false if the request ended before: the module refused it
+// or shared a result with it, or its caller is gone.
+func (h *Handler) awaitStart() bool {
 	c := h.core
-	defer c.remove(h)
-	gone := false
-	c.send(h, policy.Arrived{ID: h.id})
-
-	// Queued: until the module starts the request, shares a result with it or refuses it.
-	var attempt *Attempt
-	var startedAt float64
-	for attempt == nil {
+	for {
 		switch m := h.inbox.Next().(type) {
 		case policy.Refuse:
 			h.answer(Outcome{Verdict: Refused, RetryAfterMS: clock.Millis(m.RetryAfter), NoRetry: m.NoRetry, UnknownClass: !h.knownClass})
-			return
+			return false
 		case policy.Fail:
 			h.fail()
-			return
+			return false
 		case sharedResult:
 			outcome := policy.Failed
 			if m.ok {
@@ -123,48 +127,63 @@
 				h.fail()
 			}
 			c.send(h, policy.Finished{ID: h.id, Outcome: outcome})
-			return
+			return false
 		case failUnlessStarted:
 			h.answer(Outcome{Verdict: Failed})
 			h.inbox.Put(callerGone{})
 		case callerGone:
-			gone = true
+			h.gone = true
 			c.send(h, policy.CallerGone{ID: h.id})
 		case dismissed:
-			return
+			return false
 		case notRemembered:
 			// A retry of the request would not be recognized as such and would run again, so the request is refused.
 			c.log.Warn().Str("id", h.request.ID).Str("class", h.request.Class).
 				Msg("keyed request not run: the key table is full, or another process may run keyed requests")
 			h.answer(Outcome{Verdict: Refused, RetryAfterMS: refusalRetryAfterMS})
-			c.send(h, policy.Finished{ID: h.id, Outcome: policy.NotRun})
-			return
+			h.endUnrun()
+			return false
 		case policy.Start:
-			if gone { // the module started the request before it received CallerGone; nothing ran
-				c.send(h, policy.Finished{ID: h.id, Outcome: policy.NotRun})
-				return
-			}
-			if ok, err := c.recordEffect(h.request, h.class); !ok {
-				// An effect that could not be recorded may be retried on another server; one that was started before
-				// may not.
-				if err != nil {
-					h.answer(Outcome{Verdict: Refused, RetryAfterMS: refusalRetryAfterMS})
-				} else {
-					h.answer(Outcome{Verdict: Failed})
-				}
-				c.send(h, policy.Finished{ID: h.id, Outcome: policy.NotRun})
-				return
+			if h.gone { // the module started the request before it received CallerGone; nothing ran
+				h.endUnrun()
+				return false
 			}
-			attempt = &Attempt{Request: h.request, Due: h.due, CallsSkippable: h.class.SkipWorth > 0,
-				Notify: func(n Notice) { h.inbox.Put(n) }}
-			startedAt = c.clock.Now() // read before the start, so that no result looks newer than it is
-			c.counts.attempts.Add(1)
-			c.runner.Start(attempt)
+			return true
 		}
 	}
+}
+
+// recordEffect records the effect of a started request before it runs. It returns false if the request must not run.
+func (h *Handler) recordEffect() bool {
+	c := h.core
+	ok, err := c.recordEffect(h.request, h.class)
+	if ok {
+		return true
+	}
+	// An effect that could not be recorded may be retried on another server; one that was started before may not.
+	if err != nil {
+		h.answer(Outcome{Verdict: Refused, RetryAfterMS: refusalRetryAfterMS})
+	} else {
+		h.answer(Outcome{Verdict: Failed})
+	}
+	h.endUnrun()
+	return false
+}
+
+// endUnrun reports to the module that a request that it has started never ran.
+func (h *Handler) endUnrun() {
+	h.core.send(h, policy.Finished{ID: h.id, Outcome: policy.NotRun})
+}
 
-	// Running: until the runner reports the end of the attempt, even if the request was answered or its caller is gone
-	// before. The module receives that end, but such a request makes no further downstream calls.
+// run runs the request, until the runner reports the end of the attempt, even if the request was answered or its caller is
+// gone before. The module receives that end, but such a request makes no further downstream calls.
+func (h *Handler) run() {
+	c := h.core
+	attempt := &Attempt{Request: h.request, Due: h.due, CallsSkippable: h.class.SkipWorth > 0,
+		Notify: func(n Notice) { h.inbox.Put(n) }}
+	startedAt := c.clock.Now() // read before the start, so that no result looks newer than it is
+	c.counts.attempts.Add(1)
+	c.runner.Start(attempt)
 	var pendingCall Notice // the call that the attempt waits for
 	calls := 0
 	cancelCall := func() {}
@@ -176,40 +195,24 @@
 				h.fail() // the attempt continues, or keeps waiting for its call
 				continue
 			}
-			if !m.Ended {
+			if m.Ended {
 				pool.Put(pendingCall.Body)
-				pendingCall = m
-				c.send(h, policy.CallNeeded{ID: h.id})
-				continue
-			}
-			if m.Outcome == policy.OK {
-				h.answer(Outcome{Verdict: Served, Result: m.Body})
+				m.MadeAt = min(c.clock.Now(), startedAt+m.TookMS) // a late notice must not make the result look newer
+				h.end(m)
+				return
 			}
 			pool.Put(pendingCall.Body)
-			if recorder, ok := c.effectLog.(EffectEndRecorder); ok && h.class.Safety != policy.Safe {
-				recorder.Ended(h.request.ID, m.Outcome == policy.OK)
-			}
-			m.MadeAt = min(c.clock.Now(), startedAt+m.TookMS) // a late notice must not make the result look newer
-			c.sendEnd(h, m)
-			// The answer follows the end: a retry that the caller sends at once would otherwise find this attempt
-			// running, and fail because of it.
-			switch {
-			case m.Outcome == policy.OK:
-			case m.UnknownRequest:
-				h.answer(Outcome{Verdict: Failed, UnknownRequest: true})
-			case !gone:
-				h.fail()
-			}
-			return
+			pendingCall = m
+			c.send(h, policy.CallNeeded{ID: h.id})
 		case policy.MakeCall:
 			cancelCall() // a second call of one request cancels the first
-			if h.answered || gone {
+			if h.answered || h.gone {
 				continue // the module receives the end of the attempt
 			}
 			calls++
 			cancelCall = h.call(calls, m, pendingCall.Body)
 		case callEnded:
-			if m.number != calls || h.answered || gone {
+			if m.number != calls || h.answered || h.gone {
 				pool.Put(m.body)
 				continue
 			}
@@ -225,7 +228,7 @@
 			cancelCall()
 			c.runner.Abandon(attempt)
 		case callerGone:
-			gone = true
+			h.gone = true
 			cancelCall()
 			c.send(h, policy.CallerGone{ID: h.id})
 			c.runner.Abandon(attempt)
@@ -233,6 +236,27 @@
 	}
 }
 
+// end answers a request whose attempt has ended, and reports the end to the effect log and the module.
+func (h *Handler) end(n Notice) {
+	c := h.core
+	if n.Outcome == policy.OK {
+		h.answer(Outcome{Verdict: Served, Result: n.Body})
+	}
+	if recorder, ok := c.effectLog.(EffectEndRecorder); ok && h.class.Safety != policy.Safe {
+		recorder.Ended(h.request.ID, n.Outcome == policy.OK)
+	}
+	c.sendEnd(h, n)
+	// The answer follows the end: a retry that the caller sends at once would otherwise find this attempt running, and
+	// fail because of it.
+	switch {
+	case n.Outcome == policy.OK:
+	case n.UnknownRequest:
+		h.answer(Outcome{Verdict: Failed, UnknownRequest: true})
+	case !h.gone:
+		h.fail()
+	}
+}
+
 // call makes one downstream call and returns a function that cancels it.
 func (h *Handler) call(number int, action policy.MakeCall, body []byte) func() {
 	c := h.core
