Share keyed attempts between a process and its successor while both serve

What callers saw: while a process was replaced, the old one answered `later` to retries of keyed requests that the new one had run.

Cause: from its handover to its end the old process accepts requests beside the new one. It had sent its keyed attempts once, learned nothing of what the new one started, and refused every keyed request that it had not started itself (keyTable.mayStart, notRemembered). The new one never learned the end of an attempt that the old one was running.

Change: the connection of the handover stays in use. The old process claims each keyed attempt before it starts it, the new one writes the announcement of each of its own to the socket before that starts, and both report the ends with the results. A request that the other process has started waits for that result up to its due time; a queued one whose retry was started elsewhere is not refused. If either process ends, the other goes on at once with what it was told. Earlier builds are recognized by the version that they send, and met as before.

Why this works: one process decides on all starts, and messages keep their order, so a process that may not start a request knows which attempt was started. A refusal is sent only where no attempt was started.

--- a/cmd/puffinsaddle/main_test.go
+++ b/cmd/puffinsaddle/main_test.go
@@ -18,6 +18,7 @@
 	"puffinsaddle/internal/clock"
 	"puffinsaddle/internal/config"
 	"puffinsaddle/internal/core"
+	"puffinsaddle/internal/net/handover"
 	"puffinsaddle/policy"
 )
 
@@ -449,7 +450,7 @@
 		c.Open(&core.Request{ID: id, Class: "pay", ArrivedAt: clk.Now(), KB: 1, IdempotencyKey: id}, func(o core.Outcome) { answers <- o.Verdict })
 	}
 	lines := make(logLines, 10)
-	importKeyedAttempts(c, connection, zerolog.New(lines))
+	handover.ImportKeyedAttempts(c, connection, zerolog.New(lines))
 	lines.waitFor(t, "sent no keyed attempts")
 	pay()
 	select {
--- a/cmd/puffinsaddle/replacement.go
+++ b/cmd/puffinsaddle/replacement.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"encoding/json"
 	"net"
 	"net/url"
 	"path/filepath"
@@ -9,7 +8,6 @@
 	"github.com/rs/zerolog"
 
 	"puffinsaddle/internal/config"
-	"puffinsaddle/internal/core"
 	"puffinsaddle/internal/net/handover"
 )
 
@@ -45,30 +43,3 @@
 	}
 	return i, nil
 }
-
-// encodeKeyedAttempts encodes, for a successor, the keyed attempts that ran in this process.
-func encodeKeyedAttempts(c *core.Core, log zerolog.Logger) []byte {
-	data, err := json.Marshal(c.ExportKeyedAttempts())
-	logFailure(log, err) // never fails, since the attempts have no NaN or infinite numbers
-	return data
-}
-
-// importKeyedAttempts imports the keyed attempts of the predecessor, if there is one. A predecessor that sends none may go on
-// starting keyed requests; this process then starts none until the predecessor has exited and its keys have expired.
-func importKeyedAttempts(c *core.Core, predecessor net.Conn, log zerolog.Logger) {
-	if predecessor == nil {
-		return
-	}
-	var attempts []core.KeyedAttempt
-	data, received := handover.AnnounceServing(predecessor)
-	if received && json.Unmarshal(data, &attempts) == nil {
-		c.ImportKeyedAttempts(attempts)
-		return
-	}
-	log.Warn().Msg("predecessor sent no keyed attempts; keyed requests wait for its exit")
-	c.ExportKeyedAttempts()
-	go func() {
-		handover.WaitForExit(predecessor)
-		c.ResumeKeyedAttempts()
-	}()
-}
--- a/cmd/puffinsaddle/server.go
+++ b/cmd/puffinsaddle/server.go
@@ -167,7 +167,9 @@
 
 // startServing lets the fronts serve, and offers their sockets to a successor.
 func (s *server) startServing() {
-	importKeyedAttempts(s.core, s.inherited.predecessor, s.log)
+	if s.inherited.predecessor != nil {
+		handover.ImportKeyedAttempts(s.core, s.inherited.predecessor, s.log)
+	}
 	for _, f := range s.fronts {
 		go f.Serve()
 	}
@@ -179,8 +181,7 @@
 
 // offerSockets offers the sockets to a successor. If that fails, this process can't be replaced while it runs.
 func (s *server) offerSockets() {
-	state := func() []byte { return encodeKeyedAttempts(s.core, s.log) }
-	offer, err := handover.New(s.inherited.offerPath, s.sockets, state, s.core.ResumeKeyedAttempts, s.log)
+	offer, err := handover.New(s.inherited.offerPath, s.sockets, handover.KeyedAttempts(s.core, s.log), s.log)
 	if err != nil {
 		logFailure(s.log, err)
 		return
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -67,6 +67,7 @@
 	batch           []event
 	events          []policy.Event
 	keys            keyTable
+	replacement     replacement
 }
 
 // event is an inbox entry, either an event for the module or a request to the goroutine that owns the module.
@@ -88,7 +89,8 @@
 	effectLog EffectLog) *Core {
 	c := &Core{clock: clk, log: log, tickMS: clock.Millis(settings.Tick), seed: seed, runner: runner, downstream: downstream,
 		effectLog: effectLog, inbox: mailbox.New[event](), stop: make(chan struct{}), stopReached: make(chan struct{}), handlers: map[policy.ID]*Handler{},
-		byRequestID: map[string]*Handler{}, keys: newKeyTable(clock.Millis(settings.SharedResultTTL), defaultKeyTableBytes)}
+		byRequestID: map[string]*Handler{}, keys: newKeyTable(clock.Millis(settings.SharedResultTTL), defaultKeyTableBytes),
+		replacement: replacement{claims: map[string]PeerLink{}}}
 	c.counts.byClass = map[string]*classCounts{}
 	c.adopt(settings)
 	if c.effectLog == nil {
@@ -396,7 +398,7 @@
 		}
 		return ev
 	case policy.Finished:
-		c.keys.recordEnd(ev, e.notice)
+		c.tellEnd(c.keys.recordEnd(ev, e.notice), ev.Outcome == policy.NotRun)
 		return ev
 	}
 	return e.event
@@ -408,20 +410,16 @@
 	case policy.Start:
 		if h := c.handlerOf(a.ID); h != nil {
 			h.started = true
-			if !c.keys.mayStart(h, now) {
-				h.inbox.Put(notRemembered{})
-			} else {
-				h.inbox.Put(a)
-			}
+			c.permitStart(h, a, now)
 		}
 	case policy.ShareResult:
 		if h := c.handlerOf(a.ID); h != nil {
-			h.started = true // the handler reports its end once it has the shared result
-			result, ok := c.keys.result(h)
-			h.inbox.Put(sharedResult{ok: ok, result: result})
+			c.shareResult(h)
 		}
 	case policy.Refuse:
-		c.deliver(a.ID, a)
+		if h := c.handlerOf(a.ID); h != nil {
+			c.refuse(h, a)
+		}
 	case policy.Fail:
 		c.deliver(a.ID, a)
 	case policy.MakeCall:
@@ -453,6 +451,30 @@
 	}
 }
 
+// shareResult gives a request the result of the one that it repeats, or lets it wait while another process runs that one.
+func (c *Core) shareResult(h *Handler) {
+	if e := c.keys.startedAttempt(h); e != nil && e.owner != nil && !e.ended {
+		e.waiting = append(e.waiting, h.id)
+		return
+	}
+	h.started = true // the handler reports its end once it has the shared result
+	result, ok := c.keys.result(h)
+	h.inbox.Put(sharedResult{ok: ok, result: result})
+}
+
+// refuse refuses a request, unless another process has started an attempt of it while it was queued here: a refusal would say
+// that nothing ran.
+func (c *Core) refuse(h *Handler, refusal policy.Refuse) {
+	switch e := c.keys.startedAttempt(h); {
+	case e == nil:
+		h.inbox.Put(refusal)
+	case e.ended:
+		h.inbox.Put(e.shared(c.keys.hashBody(h.request)))
+	default:
+		h.inbox.Put(policy.Fail{ID: h.id})
+	}
+}
+
 // wake calls the module at once, so that no due answer waits for the gauges, and sends the gauges once they are read.
 func (c *Core) wake(token uint64) {
 	c.inbox.Put(event{})
@@ -467,6 +489,12 @@
 	return c.handlers[id]
 }
 
+func (c *Core) handlerOfRequest(requestID string) *Handler {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.byRequestID[requestID]
+}
+
 func (c *Core) deliver(id policy.ID, a policy.Action) {
 	if h := c.handlerOf(id); h != nil {
 		h.inbox.Put(a)
--- a/internal/core/handler.go
+++ b/internal/core/handler.go
@@ -23,6 +23,7 @@
 	due               float64      // when the answer is due, in Unix milliseconds
 	answered          bool
 	gone              bool // the caller no longer waits
+	permitted         bool // the other processes of the server permit the start
 	countedUnanswered bool // it counts as a request without an answer
 	countedActive     bool // it was accepted, and counts as active until it ends
 	ended             atomic.Bool
@@ -34,10 +35,13 @@
 	callerGone        struct{}
 	dismissed         struct{} // the caller is gone, and the module never started the request
 	failUnlessStarted struct{} // the request must fail unless it has started
-	notRemembered     struct{} // the module started a keyed request that has no entry in the key table
+	startPending      struct{} // the module started a keyed request that needs the permission of another process
+	startPermitted    struct{} // the request may run now
+	startDenied       struct{} // the module started a keyed request that must not run
 	sharedResult      struct { // a result of the same read, or of another attempt of a keyed request
 		ok     bool
 		result []byte
+		notRun bool // the other attempt was not run after all
 	}
 	callEnded struct { // a downstream call has ended
 		number  int
@@ -101,7 +105,7 @@
 func (h *Handler) serve() {
 	defer h.core.remove(h)
 	h.core.send(h, policy.Arrived{ID: h.id})
-	if h.awaitStart() && h.recordEffect() {
+	if h.awaitStart() && h.awaitPermission() && h.recordEffect() {
 		h.run()
 	}
 }
@@ -122,10 +126,8 @@
 			outcome := policy.Failed
 			if m.ok {
 				outcome = policy.OK
-				h.answer(Outcome{Verdict: Served, Result: m.result})
-			} else {
-				h.fail()
 			}
+			h.share(m)
 			c.send(h, policy.Finished{ID: h.id, Outcome: outcome})
 			return false
 		case failUnlessStarted:
@@ -136,23 +138,67 @@
 			c.send(h, policy.CallerGone{ID: h.id})
 		case dismissed:
 			return false
-		case notRemembered:
+		case startDenied:
 			// A retry of the request would not be recognized as such and would run again, so the request is refused.
 			c.log.Warn().Str("id", h.request.ID).Str("class", h.request.Class).
 				Msg("keyed request not run: the key table is full, or another process may run keyed requests")
 			h.answer(Outcome{Verdict: Refused, RetryAfterMS: refusalRetryAfterMS})
 			h.endUnrun()
 			return false
+		case startPending:
+			return true
 		case policy.Start:
 			if h.gone { // the module started the request before it received CallerGone; nothing ran
 				h.endUnrun()
 				return false
 			}
+			h.permitted = true
 			return true
 		}
 	}
 }
 
+// share answers the request with the result of another one.
+func (h *Handler) share(shared sharedResult) {
+	switch {
+	case shared.ok:
+		h.answer(Outcome{Verdict: Served, Result: shared.result})
+	case shared.notRun:
+		h.answer(Outcome{Verdict: Refused, RetryAfterMS: refusalRetryAfterMS})
+	default:
+		h.fail()
+	}
+}
+
+// awaitPermission waits until the other processes of the server permit the request to run. It returns false if the request
+// ended before.
+func (h *Handler) awaitPermission() bool {
+	for !h.permitted {
+		switch m := h.inbox.Next().(type) {
+		case startPermitted:
+			h.permitted = true
+		case sharedResult: // another process has started an attempt of the request
+			h.share(m)
+			h.endUnrun()
+			return false
+		case policy.Fail, policy.Refuse:
+			h.fail() // not a refusal, since another process may have started an attempt of the request
+			h.endUnrun()
+			return false
+		case failUnlessStarted:
+			h.answer(Outcome{Verdict: Failed})
+			h.endUnrun()
+			return false
+		case callerGone:
+			h.gone = true
+			h.core.send(h, policy.CallerGone{ID: h.id})
+			h.endUnrun()
+			return false
+		}
+	}
+	return true
+}
+
 // recordEffect records the effect of a started request before it runs. It returns false if the request must not run.
 func (h *Handler) recordEffect() bool {
 	c := h.core
--- a/internal/core/keys.go
+++ b/internal/core/keys.go
@@ -20,15 +20,13 @@
 // remembered: reads of one class and key while the result is fresh, and attempts of a keyed request for the window in
 // which another attempt may arrive.
 type keyTable struct {
-	freshMS        float64 // how long the result of a read may be shared, in milliseconds
-	maxBytes       int     // memory limit for keyed entries, in bytes
-	usedBytes      int
-	lastExpiry     float64 // when expired entries were last removed
-	otherProcesses int     // number of other processes that may start keyed requests; above 0, this process starts none
-	noStartBefore  float64 // no keyed request starts before this time, since a process that is gone may have started some
-	byKey          map[classKey]*entry
-	byID           map[policy.ID]*entry
-	unremembered   map[classKey]*entry // keyed requests of the present call of the module, which are not yet remembered
+	freshMS      float64 // how long the result of a read may be shared, in milliseconds
+	maxBytes     int     // memory limit for keyed entries, in bytes
+	usedBytes    int
+	lastExpiry   float64 // when expired entries were last removed
+	byKey        map[classKey]*entry
+	byID         map[policy.ID]*entry
+	unremembered map[classKey]*entry // keyed requests of the present call of the module, which are not yet remembered
 }
 
 type classKey struct {
@@ -45,10 +43,15 @@
 	madeAt    float64 // when the result was made, in Unix milliseconds; never later than the true time
 	result    []byte
 
-	windowEnd float64      // keyed: no other attempt that reached the machine up to this time may run
-	bodyHash  uint64       // keyed: hash of the body, which is the same for all attempts
-	class     policy.Class // keyed: the class, which new settings may lack
-	started   bool         // keyed: the module started it
+	// Of keyed entries only:
+	windowEnd float64      // no other attempt that reached the machine up to this time may run
+	bodyHash  uint64       // hash of the body, which is the same for all attempts
+	class     policy.Class // the class, which new settings may lack
+	started   bool         // the module started it
+	requestID string       // of the attempt's request; empty: not known
+	arrivedAt float64      // when that request reached the machine, in Unix milliseconds
+	owner     PeerLink     // to the process that runs it; nil: this process, or one that is gone
+	waiting   []policy.ID  // requests that share the result once the owner has reported it
 }
 
 func newKeyTable(freshMS float64, maxBytes int) keyTable {
@@ -85,6 +88,7 @@
 	if key.keyed {
 		window, deadline := clock.Millis(h.class.KeyTTL), clock.Millis(h.class.Deadline)
 		e.windowEnd, e.bodyHash, e.class = h.request.ArrivedAt+window+clockSlackMS, t.hashBody(h.request), h.class
+		e.requestID, e.arrivedAt = h.request.ID, h.request.ArrivedAt
 		// An attempt that reached the machine within the window may be read up to its deadline later.
 		e.expiresAt = e.windowEnd + deadline + clockSlackMS
 		if t.usedBytes+e.size() > t.maxBytes {
@@ -161,44 +165,50 @@
 	return h.Sum64()
 }
 
-// mayStart reports whether a request may start. A keyed one needs an entry, by which its other attempts are recognized,
-// and no other process that may start keyed requests.
-func (t *keyTable) mayStart(h *Handler, now float64) bool {
-	if h.class.Safety != policy.Keyed {
-		return true
-	}
-	e := t.byID[h.id]
-	if e == nil || t.otherProcesses > 0 || now < t.noStartBefore {
-		return false
-	}
-	e.started = true
-	return true
-}
-
 // resultFor returns the result for another attempt with the given body, if this one has succeeded with the same body.
 func (e *entry) resultFor(bodyHash uint64) ([]byte, bool) {
 	return e.result, e.ended && e.succeeded && e.bodyHash == bodyHash
 }
 
-// recordEnd records the end of a remembered attempt with its result. A keyed attempt that never ran is removed, so that
-// another attempt may run.
-func (t *keyTable) recordEnd(finished policy.Finished, n Notice) {
+// recordEnd records the end of a remembered attempt with its result, and returns its entry. A keyed attempt that never ran is
+// removed, so that another attempt may run.
+func (t *keyTable) recordEnd(finished policy.Finished, n Notice) *entry {
 	e := t.byID[finished.ID]
 	if e == nil || e.ended {
-		return
+		return nil
+	}
+	if e.key.keyed && finished.Outcome == policy.NotRun {
+		t.forget(finished.ID)
+		return e
 	}
+	var result []byte
+	succeeded := finished.Outcome == policy.OK && n.Ended
+	if succeeded {
+		result = append(result, n.Body...)
+	}
+	e.madeAt = n.MadeAt
+	t.setOutcome(e, succeeded, result)
+	return e
+}
+
+// setOutcome sets the outcome of an attempt that has ended.
+func (t *keyTable) setOutcome(e *entry, succeeded bool, result []byte) {
 	if e.key.keyed {
-		if finished.Outcome == policy.NotRun {
-			t.forget(finished.ID)
-			return
-		}
 		t.usedBytes -= e.size()
 		defer func() { t.usedBytes += e.size() }()
 	}
-	e.ended, e.succeeded, e.madeAt = true, finished.Outcome == policy.OK && n.Ended, n.MadeAt
-	if e.succeeded {
-		e.result = append([]byte(nil), n.Body...)
+	e.ended, e.succeeded, e.result = true, succeeded, result
+}
+
+// startedAttempt returns the entry of another attempt of a keyed request that was started, by this process or another one.
+func (t *keyTable) startedAttempt(h *Handler) *entry {
+	if h.class.Safety != policy.Keyed {
+		return nil
+	}
+	if e := t.findKeyed(h.request); e != nil && e.started && e.id != h.id {
+		return e
 	}
+	return nil
 }
 
 // result returns the result that a request may share, if there is one.
--- /dev/null
+++ b/internal/core/replacement_test.go
@@ -0,0 +1,250 @@
+package core
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"puffinsaddle/policy"
+)
+
+// fakePeer is a fake link to the other process of a server. The test reads the messages and sends others.
+type fakePeer struct {
+	t        *testing.T
+	messages chan sentMessage
+}
+
+type sentMessage struct {
+	PeerMessage
+	sent func()
+}
+
+func newFakePeer(t *testing.T) *fakePeer { return &fakePeer{t, make(chan sentMessage, 10)} }
+
+func (p *fakePeer) Send(m PeerMessage, sent func()) { p.messages <- sentMessage{m, sent} }
+
+// next returns the next message.
+func (p *fakePeer) next() sentMessage {
+	p.t.Helper()
+	select {
+	case m := <-p.messages:
+		return m
+	case <-time.After(30 * time.Second):
+		p.t.Fatal("no message was sent")
+		return sentMessage{}
+	}
+}
+
+// wantClaim returns the next message, which has to be a claim of a request.
+func (p *fakePeer) wantClaim(id int) *KeyedAttempt {
+	p.t.Helper()
+	m := p.next()
+	if m.Claim == nil || m.Claim.RequestID != fmt.Sprintf("%016x", id) {
+		p.t.Fatalf("sent %+v, want a claim of %d", m.PeerMessage, id)
+	}
+	return m.Claim
+}
+
+// wantNotRun expects the message that an attempt did not run.
+func (p *fakePeer) wantNotRun(id int) {
+	p.t.Helper()
+	if m := p.next(); m.Ended == nil || m.Ended.RequestID != fmt.Sprintf("%016x", id) || !m.Ended.NotRun {
+		p.t.Fatalf("sent %+v, want that %d did not run", m.PeerMessage, id)
+	}
+}
+
+// newKeyedFixture returns a fixture with a class of keyed requests, of which as many run at once as there are cores.
+func newKeyedFixture(t *testing.T, cores int) *fixture {
+	r := newFixture(t, nil)
+	set := testSettings
+	set.Cores, set.MaxRunningPerCore = cores, 1.5
+	set.Classes = append(slices.Clone(set.Classes), policy.Class{Name: "pay", Aim: 2 * time.Second, Deadline: 5 * time.Second, Worth: 4,
+		Safety: policy.Keyed, KeyTTL: 30 * time.Second})
+	r.Adopt(set)
+	return r
+}
+
+// pay opens an attempt of a keyed request that waits for 3 s.
+func (r *fixture) pay(id int, once string) *Handler {
+	q := &Request{ID: fmt.Sprintf("%016x", id), Class: "pay", ArrivedAt: startMS, WaitMS: 3000, KB: 1, IdempotencyKey: once, Body: []byte("a")}
+	return r.Open(q, func(o Outcome) { r.answers <- fmt.Sprintf("%d %d %s", id, o.Verdict, o.Result) })
+}
+
+// settle waits until all earlier events have been processed.
+func (r *fixture) settle() { r.runAndWait(func() {}) }
+
+// advance moves the clock step by step, so that the module's timers fire.
+func (r *fixture) advance(toMS float64) {
+	for now := r.clock.Now(); now < startMS+toMS; now = r.clock.Now() {
+		r.clock.Set(min(now+100, startMS+toMS))
+		r.settle()
+	}
+}
+
+// startedBy returns the announcement that another process starts an attempt of a keyed request.
+func (r *fixture) startedBy(id int, once string) PeerMessage {
+	class := policy.Class{Name: "pay", Deadline: 5 * time.Second, Safety: policy.Keyed, KeyTTL: 30 * time.Second}
+	var body uint64
+	r.runAndWait(func() { body = r.keys.hashBody(&Request{Body: []byte("a")}) })
+	return PeerMessage{Started: &KeyedAttempt{Class: class, Once: once, Until: startMS + 30100, Expires: startMS + 36000, Body: body,
+		RequestID: fmt.Sprintf("%016x", id), ArrivedAt: startMS, Running: true}}
+}
+
+func endedBy(id int, once, result string) PeerMessage {
+	return PeerMessage{Ended: &AttemptResult{Class: "pay", Once: once, RequestID: fmt.Sprintf("%016x", id), Good: true, Result: []byte(result)}}
+}
+
+// An attempt waits in the queue of one process when another process starts a later attempt of the same request. It is not refused
+// at its due time, and does not run when its turn comes. Guards against a refusal of a request that has run, and a second run.
+func TestQueuedAttemptWhileOtherProcessStartsRequest(t *testing.T) {
+	r, peer := newKeyedFixture(t, 2), newFakePeer(t)
+	r.ImportKeyedAttempts(peer, nil)
+	r.open(1, "book", "", startMS)
+	running := <-r.runner.started
+	r.open(2, "book", "", startMS)
+	<-r.runner.started
+	r.pay(3, "aa")
+	r.pay(4, "bb")
+	r.pay(5, "cc")
+	r.settle()
+	r.ReceiveFromPeer(peer, r.startedBy(13, "aa"))
+	r.ReceiveFromPeer(peer, r.startedBy(14, "bb"))
+	r.ReceiveFromPeer(peer, endedBy(14, "bb", "B"))
+	r.settle()
+	r.succeed(running, "A", 1)
+	r.wantAnswer("1 0 A")
+	r.advance(3000)
+	got := []string{<-r.answers, <-r.answers, <-r.answers, <-r.answers}
+	slices.Sort(got)
+	// The third one's turn comes; the two after it stay in the queue. No process has started the last one.
+	want := []string{fmt.Sprintf("2 %d ", Overdue), fmt.Sprintf("3 %d ", Overdue), "4 0 B", fmt.Sprintf("5 %d ", Refused)}
+	if !slices.Equal(got, want) || len(r.runner.started) > 0 {
+		t.Errorf("answers %q, want %q; %d started", got, want, len(r.runner.started))
+	}
+}
+
+// A request waits for the result of another process's attempt until its due time, or until its caller goes. Guards against
+// requests that stay open for as long as that attempt runs.
+func TestWaitForOtherProcessEndsAtDueTime(t *testing.T) {
+	r, peer := newKeyedFixture(t, 8), newFakePeer(t)
+	r.ImportKeyedAttempts(peer, []KeyedAttempt{*r.startedBy(11, "aa").Started})
+	h := r.pay(1, "aa")
+	r.pay(2, "aa")
+	r.settle()
+	h.CallerGone()
+	r.waitForOpen(1)
+	r.advance(3000)
+	r.wantAnswer(fmt.Sprintf("2 %d ", Overdue))
+	r.waitForOpen(0)
+	r.ReceiveFromPeer(peer, endedBy(11, "aa", "A"))
+	r.settle()
+	if len(r.answers)+len(r.runner.started) > 0 {
+		t.Error("a further answer or run after the request had ended")
+	}
+}
+
+// The other process does not respond to a claim. The request fails at its due time, and does not run if the permission comes later.
+func TestClaimWithoutResponseFailsAtDueTime(t *testing.T) {
+	r, peer := newKeyedFixture(t, 8), newFakePeer(t)
+	r.ExportKeyedAttempts(peer)
+	r.pay(1, "aa")
+	peer.wantClaim(1)
+	r.advance(3000)
+	r.wantAnswer(fmt.Sprintf("1 %d ", Overdue))
+	peer.wantNotRun(1)
+	r.ReceiveFromPeer(peer, PeerMessage{Response: &ClaimResponse{RequestID: fmt.Sprintf("%016x", 1), Granted: true}})
+	r.settle()
+	if len(r.runner.started) > 0 {
+		t.Error("a request ran after its answer")
+	}
+}
+
+// A caller goes while the claim of its request has no response yet: the request does not run, and the other process is told.
+func TestCallerGoneBeforeResponse(t *testing.T) {
+	r, peer := newKeyedFixture(t, 8), newFakePeer(t)
+	r.ExportKeyedAttempts(peer)
+	h := r.pay(1, "aa")
+	peer.wantClaim(1)
+	h.CallerGone()
+	peer.wantNotRun(1)
+	r.ReceiveFromPeer(peer, PeerMessage{Response: &ClaimResponse{RequestID: fmt.Sprintf("%016x", 1), Granted: true}})
+	r.waitForOpen(0)
+	if len(r.runner.started) > 0 {
+		t.Error("a request ran whose caller had gone")
+	}
+}
+
+// Two attempts of one request reach both processes at once. The new process starts its own, so the replaced one is denied the
+// start and answers with the result of the other.
+func TestDeniedClaimSharesResult(t *testing.T) {
+	r, peer := newKeyedFixture(t, 8), newFakePeer(t)
+	r.ExportKeyedAttempts(peer)
+	r.pay(1, "aa")
+	claim := peer.wantClaim(1)
+	r.ReceiveFromPeer(peer, r.startedBy(2, "aa"))
+	r.ReceiveFromPeer(peer, PeerMessage{Response: &ClaimResponse{RequestID: claim.RequestID}})
+	r.settle()
+	r.ReceiveFromPeer(peer, endedBy(2, "aa", "A"))
+	r.wantAnswer("1 0 A")
+	if len(r.runner.started) > 0 {
+		t.Error("a request ran whose claim was denied")
+	}
+}
+
+// A claim is granted, unless an attempt of the request was started here.
+func TestClaimIsDeniedOnceStarted(t *testing.T) {
+	r, peer := newKeyedFixture(t, 8), newFakePeer(t)
+	r.ImportKeyedAttempts(peer, nil)
+	for i, want := range []bool{true, false} {
+		claim := r.startedBy(10+i, "aa").Started
+		r.ReceiveFromPeer(peer, PeerMessage{Claim: claim})
+		if m := peer.next(); m.Response == nil || m.Response.RequestID != claim.RequestID || m.Response.Granted != want {
+			t.Errorf("sent %+v, want the response %v", m.PeerMessage, want)
+		}
+	}
+}
+
+// The new process runs a keyed request only once the message that tells the replaced process of it is on its way: if it is killed
+// right after, the replaced one knows that the request may have run.
+func TestStartWaitsUntilPredecessorIsTold(t *testing.T) {
+	r, peer := newKeyedFixture(t, 8), newFakePeer(t)
+	r.ImportKeyedAttempts(peer, nil)
+	r.pay(1, "aa")
+	announced := peer.next()
+	if announced.Started == nil || announced.Started.RequestID != fmt.Sprintf("%016x", 1) {
+		t.Fatalf("sent %+v, want the start of 1", announced.PeerMessage)
+	}
+	r.settle()
+	if len(r.runner.started) > 0 {
+		t.Error("the request ran before the other process was told")
+	}
+	announced.sent()
+	r.succeed(<-r.runner.started, "A", 1)
+	r.wantAnswer("1 0 A")
+	if m := peer.next(); m.Ended == nil || !m.Ended.Good || string(m.Ended.Result) != "A" {
+		t.Errorf("sent %+v, want the result", m.PeerMessage)
+	}
+}
+
+// The new process is killed with claims that have no response yet. The replaced process decides on them alone: it starts those of
+// which the other one had started no attempt.
+func TestClaimsAreDecidedWhenSuccessorEnds(t *testing.T) {
+	r, peer := newKeyedFixture(t, 8), newFakePeer(t)
+	r.ExportKeyedAttempts(peer)
+	r.pay(1, "aa")
+	peer.wantClaim(1)
+	r.pay(2, "bb")
+	peer.wantClaim(2)
+	r.ReceiveFromPeer(peer, r.startedBy(12, "bb"))
+	r.PeerEnded(peer)
+	r.succeed(<-r.runner.started, "A", 1)
+	got := []string{<-r.answers, <-r.answers}
+	slices.Sort(got)
+	if want := []string{"1 0 A", fmt.Sprintf("2 %d ", Failed)}; !slices.Equal(got, want) {
+		t.Errorf("answers %q, want %q", got, want)
+	}
+	if len(r.runner.started) > 0 {
+		t.Error("a request ran that the other process had started")
+	}
+}
--- a/internal/net/handover/handover.go
+++ b/internal/net/handover/handover.go
@@ -5,11 +5,12 @@
 //
 // The successor sends its format version as one byte when it is about to serve. Up to version 1, the predecessor answers with
 // the same byte. From version 2 on it answers with the byte stateMarker, the length of its state in eight bytes (big-endian)
-// and the state.
+// and the state. From version 3 on that byte is linkMarker, and the connection then carries the messages of a Link.
 package handover
 
 import (
 	"encoding/binary"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -30,23 +31,30 @@
 
 	stateTimeout  = 5 * time.Second // the state may be megabytes
 	maxStateBytes = 1 << 30         // bytes of the state
-	formatVersion = 2               // format version that a successor sends
+	stateVersion  = 2               // first format version of successors that receive the state
+	linkVersion   = 3               // first format version of successors that exchange messages; the version that this build sends
 	stateMarker   = 3               // first byte of an answer that contains the state
+	linkMarker    = 4               // the same, if messages follow the state
 )
 
+// Predecessor is what a process does for its successors. A link is nil if the successor's build exchanges no messages.
+type Predecessor interface {
+	State(successor *Link) []byte                     // returns the state that a successor needs, which is about to serve
+	Receive(successor *Link, content json.RawMessage) // handles a message
+	SuccessorEnded(successor *Link)                   // reports that the successor has ended, after its last message
+}
+
 // Offer passes listening sockets to each successor that connects.
 type Offer struct {
-	ln             *net.UnixListener
-	successors     atomic.Int32
-	state          func() []byte
-	successorEnded func()
+	ln          *net.UnixListener
+	successors  atomic.Int32
+	predecessor Predecessor
+	log         zerolog.Logger
 }
 
 // New offers listening sockets, keyed by the addresses they were opened for, on a Unix socket at path. A file at that path
-// was left by an earlier process and is replaced. When a successor is about to serve, state returns the state that it
-// needs; successorEnded is called once that successor has ended.
-func New(path string, sockets map[string]*net.TCPListener, state func() []byte, successorEnded func(),
-	log zerolog.Logger) (*Offer, error) {
+// was left by an earlier process and is replaced.
+func New(path string, sockets map[string]*net.TCPListener, predecessor Predecessor, log zerolog.Logger) (*Offer, error) {
 	if err := os.Remove(path); err != nil && !errors.Is(err, os.ErrNotExist) {
 		return nil, err
 	}
@@ -55,7 +63,7 @@
 		return nil, err
 	}
 	ln.SetUnlinkOnClose(false) // by then the successor's socket may be at the path
-	o := &Offer{ln: ln, state: state, successorEnded: successorEnded}
+	o := &Offer{ln: ln, predecessor: predecessor, log: log}
 	go func() {
 		for {
 			conn, err := ln.AcceptUnix()
@@ -67,50 +75,89 @@
 				time.Sleep(handshakeTimeout)
 				continue
 			}
-			go o.serveSuccessor(conn, sockets, log)
+			go o.serveSuccessor(conn, sockets)
 		}
 	}()
 	return o, nil
 }
 
-// serveSuccessor sends the sockets and then keeps the connection, whose end shows that the successor has ended.
-func (o *Offer) serveSuccessor(conn *net.UnixConn, sockets map[string]*net.TCPListener, log zerolog.Logger) {
+// serveSuccessor sends the sockets, and then serves the successor until it has ended.
+func (o *Offer) serveSuccessor(conn *net.UnixConn, sockets map[string]*net.TCPListener) {
 	defer conn.Close()
+	if err := sendSockets(conn, sockets); err != nil {
+		o.log.Warn().Err(err).Msg("handover")
+		return
+	}
+	o.log.Info().Int("sockets", len(sockets)).Msg("handed to a successor")
+	var version [1]byte
+	if n, _ := conn.Read(version[:]); n == 0 {
+		return
+	}
+	o.successors.Add(1)
+	defer o.successors.Add(-1)
+	switch {
+	case version[0] >= linkVersion:
+		o.serveLink(conn)
+	case version[0] >= stateVersion:
+		o.serveEarlierBuild(conn, func(state []byte) []byte { return appendState(stateMarker, state) })
+	default:
+		o.serveEarlierBuild(conn, func([]byte) []byte { return version[:] })
+	}
+}
+
+// sendSockets sends copies of the descriptors of listening sockets with their addresses.
+func sendSockets(conn *net.UnixConn, sockets map[string]*net.TCPListener) error {
 	var names []string
 	var fds []int
+	defer func() {
+		for _, fd := range fds {
+			syscall.Close(fd)
+		}
+	}()
 	for name, s := range sockets {
 		fd, err := duplicate(s)
 		if err != nil {
-			log.Warn().Err(err).Msg("handover")
-			return
+			return err
 		}
 		names, fds = append(names, name), append(fds, fd)
 	}
 	_, _, err := conn.WriteMsgUnix([]byte(strings.Join(names, "\n")), syscall.UnixRights(fds...), nil)
-	for _, fd := range fds {
-		syscall.Close(fd)
-	}
-	if err != nil {
-		log.Warn().Err(err).Msg("handover")
-		return
-	}
-	log.Info().Strs("sockets", names).Msg("handed to a successor")
-	var b [1]byte
-	if n, _ := conn.Read(b[:]); n == 0 {
+	return err
+}
+
+// serveLink sends the state to a successor and exchanges messages with it until it has ended.
+func (o *Offer) serveLink(conn net.Conn) {
+	link := newLink(conn)
+	defer o.predecessor.SuccessorEnded(link)
+	state := o.predecessor.State(link)
+	o.log.Info().Int("bytes", len(state)).Msg("a successor serves")
+	if err := send(conn, appendState(linkMarker, state)); err != nil {
+		link.end()
 		return
 	}
-	defer o.successorEnded() // after the successor has ended
-	state := o.state()
-	o.successors.Add(1)
-	defer o.successors.Add(-1)
-	log.Info().Int("bytes", len(state)).Msg("a successor serves")
-	answer := b[:] // an earlier build expects only its own byte
-	if b[0] >= formatVersion {
-		answer = append(binary.BigEndian.AppendUint64([]byte{stateMarker}, uint64(len(state))), state...)
-	}
+	link.Serve(func(content json.RawMessage) { o.predecessor.Receive(link, content) })
+}
+
+// serveEarlierBuild sends an answer with the state to a successor that exchanges no messages, and waits until it has ended.
+func (o *Offer) serveEarlierBuild(conn net.Conn, answer func(state []byte) []byte) {
+	defer o.predecessor.SuccessorEnded(nil)
+	state := o.predecessor.State(nil)
+	o.log.Info().Int("bytes", len(state)).Msg("a successor of an earlier build serves")
+	send(conn, answer(state))
+	io.Copy(io.Discard, conn)
+}
+
+// appendState returns the answer that contains the state.
+func appendState(marker byte, state []byte) []byte {
+	return append(binary.BigEndian.AppendUint64([]byte{marker}, uint64(len(state))), state...)
+}
+
+// send writes b within stateTimeout.
+func send(conn net.Conn, b []byte) error {
 	conn.SetWriteDeadline(time.Now().Add(stateTimeout))
-	conn.Write(answer)
-	conn.Read(b[:])
+	defer conn.SetWriteDeadline(time.Time{})
+	_, err := conn.Write(b)
+	return err
 }
 
 // duplicate returns a copy of a listener's descriptor, which stays open while it is sent even if the listener is closed
@@ -127,30 +174,35 @@
 }
 
 // AnnounceServing notifies the predecessor that this process is about to serve, and waits for its answer with a timeout, so
-// that the predecessor knows of its successor before it receives a notice to exit. It returns the predecessor's state. If
-// complete is false, the predecessor did not send its state because it has ended, hangs or is an earlier build, and may still
-// start requests that it does not report.
-func AnnounceServing(predecessor net.Conn) (state []byte, complete bool) {
+// that the predecessor knows of its successor before it receives a notice to exit. It returns the predecessor's state, and a
+// link to exchange messages with it, which is nil if its build exchanges none. If complete is false, the predecessor did not
+// send its state because it has ended, hangs or is an earlier build, and may still start requests that it does not report.
+func AnnounceServing(predecessor net.Conn) (state []byte, link *Link, complete bool) {
 	predecessor.SetDeadline(time.Now().Add(handshakeTimeout))
 	defer predecessor.SetDeadline(time.Time{})
-	if _, err := predecessor.Write([]byte{formatVersion}); err != nil {
-		return nil, false
+	if _, err := predecessor.Write([]byte{linkVersion}); err != nil {
+		return nil, nil, false
 	}
 	var header [9]byte
-	if _, err := io.ReadFull(predecessor, header[:1]); err != nil || header[0] != stateMarker {
-		return nil, false
+	if _, err := io.ReadFull(predecessor, header[:1]); err != nil || header[0] != stateMarker && header[0] != linkMarker {
+		return nil, nil, false
 	}
 	predecessor.SetDeadline(time.Now().Add(stateTimeout))
 	if _, err := io.ReadFull(predecessor, header[1:]); err != nil {
-		return nil, false
+		return nil, nil, false
 	}
 	size := binary.BigEndian.Uint64(header[1:])
 	if size > maxStateBytes {
-		return nil, false
+		return nil, nil, false
 	}
 	state = make([]byte, size)
-	_, err := io.ReadFull(predecessor, state)
-	return state, err == nil
+	if _, err := io.ReadFull(predecessor, state); err != nil {
+		return nil, nil, false
+	}
+	if header[0] == linkMarker {
+		link = newLink(predecessor)
+	}
+	return state, link, true
 }
 
 // WaitForExit waits until the predecessor has ended.
--- a/internal/net/keyed_test.go
+++ b/internal/net/keyed_test.go
@@ -1,18 +1,13 @@
 package net_test
 
 import (
-	"encoding/json"
 	"fmt"
 	"net"
-	"path/filepath"
 	"slices"
 	"testing"
 	"time"
 
-	"github.com/rs/zerolog"
-
 	"puffinsaddle/internal/clock"
-	"puffinsaddle/internal/core"
 	"puffinsaddle/internal/net/handover"
 	"puffinsaddle/policy"
 )
@@ -24,6 +19,13 @@
 
 // newKeyedServer builds a server with a class of keyed requests, on a clock that the test sets.
 func newKeyedServer(t *testing.T, change func(*policy.Settings)) (*fakeExecutor, *testServer, *clock.Clock) {
+	t.Helper()
+	clk := clock.Manual(startMS)
+	x, h := newKeyedServerOnClock(t, clk, change)
+	return x, h, clk
+}
+
+func newKeyedServerOnClock(t *testing.T, clk *clock.Clock, change func(*policy.Settings)) (*fakeExecutor, *testServer) {
 	t.Helper()
 	set := settings
 	set.Classes = append(slices.Clone(set.Classes), policy.Class{Name: "pay", Aim: 6 * time.Second, Deadline: 8 * time.Second,
@@ -31,11 +33,11 @@
 	if change != nil {
 		change(&set)
 	}
-	x, clk := newExecutor(t), clock.Manual(startMS)
+	x := newExecutor(t)
 	h := newServerWithExecutorOnClock(t, clk, set, x, "127.0.0.1:1")
 	x.acceptJoin(0)
 	x.answerBarrier()
-	return x, h, clk
+	return x, h
 }
 
 // sendPayment sends an attempt of a payment that arrived at a given time.
@@ -204,87 +206,10 @@
 	}
 }
 
-// A successor takes over the sockets while payments run. Callers see the two processes as one server, so the successor must
-// not run again what the predecessor ran or runs, and the predecessor must not start new keyed requests from then on.
-// Guards against a successor that knows none of the attempts. After the successor ends, the predecessor has to wait for
-// the window in which further attempts of the successor's requests may arrive.
-func TestSuccessorImportsKeyedAttempts(t *testing.T) {
-	x, h, clk := newKeyedServer(t, nil)
-	p := h.router()
-	p.sendPayment(1, 1, startMS, "aa", "a")
-	x.want("EXEC", id(1))
-	x.sendNotice("EXIT", id(1)+" success 1", binaryBody)
-	p.want("1", "done", "", binaryBody)
-	p.sendPayment(10, 10, startMS, "aa", "a") // its answer shows that the end was recorded
-	p.want("10", "done", "", binaryBody)
-	p.sendPayment(2, 2, startMS, "bb", "a")
-	x.want("EXEC", id(2))
-
-	path, ln := filepath.Join(t.TempDir(), "n1.handover"), newExecutor(t).ln.(*net.TCPListener)
-	successorEnded := make(chan struct{})
-	_, err := handover.New(path, map[string]*net.TCPListener{"there": ln}, func() []byte {
-		state, err := json.Marshal(h.core.ExportKeyedAttempts())
-		must(t, err)
-		return state
-	}, func() { h.core.ResumeKeyedAttempts(); h.core.AfterPendingEvents(func() { close(successorEnded) }) }, zerolog.Nop())
-	must(t, err)
-	sockets, predecessor, err := handover.Take(path)
-	if must(t, err); len(sockets) != 1 {
-		t.Fatalf("%d sockets", len(sockets))
-	}
-	sockets["there"].Close()
-	p.sendPayment(3, 3, startMS, "cc", "a") // the successor does not serve yet
-	x.want("EXEC", id(3))
-	state, complete := handover.AnnounceServing(predecessor)
-	var attempts []core.KeyedAttempt
-	if err := json.Unmarshal(state, &attempts); err != nil || !complete || len(attempts) != 3 {
-		t.Fatalf("complete %v: %s, %v", complete, state, err)
-	}
-
-	x2 := newExecutor(t)
-	set := settings
-	set.Classes = append(slices.Clone(set.Classes), policy.Class{Name: "pay", Aim: 6 * time.Second, Deadline: 8 * time.Second,
-		Worth: 4, LateValue: 1, Safety: policy.Keyed, KeyTTL: keyWindowMS * time.Millisecond})
-	h2 := newServerWithExecutorOnClock(t, clk, set, x2, "127.0.0.1:1")
-	x2.acceptJoin(0)
-	x2.answerBarrier()
-	h2.core.ImportKeyedAttempts(attempts)
-	q := h2.router()
-	q.sendPayment(11, 11, startMS, "aa", "a")
-	q.want("11", "done", "", binaryBody)
-	q.sendPayment(12, 12, startMS, "aa", "another body")
-	q.want("12", "error")
-	for i, key := range []string{"bb", "cc"} { // the successor does not know their outcome
-		q.sendPayment(13+i, 13+i, startMS, key, "a")
-		q.want(fmt.Sprint(13+i), "error")
-	}
-	q.sendPayment(15, 15, startMS, "dd", "a")
-	x2.want("EXEC", id(15)) // the first command: none of the requests before it was started
-
-	p.sendPayment(4, 4, startMS, "ee", "a")
-	p.want("4", "later")
-	p.checkNoOtherRun(x, 5, 5, startMS)
-	p.sendPayment(6, 6, startMS, "aa", "a")
-	p.want("6", "done", "", binaryBody)
-	x.sendNotice("EXIT", id(2)+" success 1", "B")
-	p.want("2", "done", "", "B")
-	p.sendPayment(7, 7, startMS, "bb", "a")
-	p.want("7", "done", "", "B")
-
-	predecessor.Close()
-	<-successorEnded
-	p.sendPayment(8, 8, startMS, "dd", "a")
-	p.want("8", "later")
-	clk.Set(startMS + keyWindowMS + 101)
-	p = h.router() // the other connection was idle for too long
-	p.sendPayment(9, 9, startMS+keyWindowMS+101, "dd", "a")
-	x.want("EXEC", id(9))
-}
-
 // A predecessor that is an earlier build, which echoes the byte it receives, or that ends during the exchange has to be
 // recognized as one that sent no state.
 func TestMissingPredecessorStateIsDetected(t *testing.T) {
-	for _, answer := range []string{"\x02", "\x02\x00\x00\x00\x00\x00\x00\x00\x00", "", "\x03\x00\x00", "\x03\xff\x00\x00\x00\x00\x00\x00\x00"} {
+	for _, answer := range []string{"\x02", "\x02\x00\x00\x00\x00\x00\x00\x00\x00", "", "\x03\x00\x00", "\x03\xff\x00\x00\x00\x00\x00\x00\x00", "\x04\x00\x00", "\x04\xff\x00\x00\x00\x00\x00\x00\x00"} {
 		ln, err := net.Listen("tcp", "127.0.0.1:0")
 		must(t, err)
 		t.Cleanup(func() { ln.Close() })
@@ -299,7 +224,7 @@
 		}()
 		predecessor, err := net.Dial("tcp", ln.Addr().String())
 		must(t, err)
-		if state, complete := handover.AnnounceServing(predecessor); complete {
+		if state, _, complete := handover.AnnounceServing(predecessor); complete {
 			t.Errorf("after %q: state %q was taken as complete", answer, state)
 		}
 		predecessor.Close()
