Answer effects at their due time while the store has not recorded them

What callers saw: with a store whose leader was silent, bookings at the other servers had no answer at their due time.

Cause: the goroutine that gives the answer also waited for the record (Core.recordEffect, up to 2 s for a connection and 4 s for a response). The module's decision to fail the request at its due time stayed unread in the handler's mailbox.

Change: the effect log is called on a goroutine of its own. The handler goes on reading its messages; at the due time, before a stop, or when the caller has gone it ends the request without running it. EffectLog.Begin takes a context, which ends the waits for another replica (store) or a reply (session) with the request. The end of a request that never ran is reported before its answer on all paths.

Why this works: a request runs only if its record is the first message that ends the wait. One that was given up before is refused, which is true: it has not run and never will, also if the record comes later, which is then reported as failed to an effect log that keeps outcomes.

--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -146,7 +146,9 @@
 
 type failingEffectLog struct{}
 
-func (failingEffectLog) Begin(string) (bool, error) { return false, errors.New("no quorum") }
+func (failingEffectLog) Begin(context.Context, string) (bool, error) {
+	return false, errors.New("no quorum")
+}
 
 // An effect that can't be recorded does not run and is refused, so that it may be retried on another server. A read needs
 // no record.
@@ -169,7 +171,7 @@
 	effectLog := newMemoryEffectLog(clk)
 	want := func(n int, want bool) {
 		t.Helper()
-		if got, err := effectLog.Begin(fmt.Sprintf("%016x", n)); got != want || err != nil {
+		if got, err := effectLog.Begin(context.Background(), fmt.Sprintf("%016x", n)); got != want || err != nil {
 			t.Errorf("Begin of effect %d: %v, %v", n, got, err)
 		}
 	}
@@ -183,7 +185,7 @@
 	want(1<<17, true)
 	want(0, true)
 	want(1, false)
-	if _, err := effectLog.Begin("none"); err == nil {
+	if _, err := effectLog.Begin(context.Background(), "none"); err == nil {
 		t.Error("a malformed ID was accepted")
 	}
 }
@@ -240,8 +242,8 @@
 // recordingEffectLog is a fake effect log that records how effects end.
 type recordingEffectLog struct{ ended chan string }
 
-func (l recordingEffectLog) Begin(string) (bool, error) { return true, nil }
-func (l recordingEffectLog) Ended(id string, ok bool)   { l.ended <- fmt.Sprint(id, " ", ok) }
+func (l recordingEffectLog) Begin(context.Context, string) (bool, error) { return true, nil }
+func (l recordingEffectLog) Ended(id string, ok bool)                    { l.ended <- fmt.Sprint(id, " ", ok) }
 
 // The effect log receives the end of each attempt that has an effect, and none of a read.
 func TestEffectLogReceivesEffectEnds(t *testing.T) {
--- a/internal/core/effects.go
+++ b/internal/core/effects.go
@@ -1,28 +1,51 @@
 package core
 
 import (
+	"context"
 	"encoding/hex"
 	"fmt"
 	"sync"
 
 	"puffinsaddle/internal/clock"
-	"puffinsaddle/policy"
 )
 
 // Milliseconds for which a started effect is remembered: longer than a request with its ID can pass Request.Check.
 const effectRetentionMS = 2 * (maxAgeMS + maxClockAheadMS)
 
-// recordEffect records a request in the effect log before it runs, and reports whether it may run. Safe requests need no
-// record.
-func (c *Core) recordEffect(q *Request, class policy.Class) (bool, error) {
-	if class.Safety == policy.Safe {
-		return true, nil
-	}
-	ok, err := c.effectLog.Begin(q.ID)
-	if err != nil {
-		c.log.Warn().Err(err).Str("id", q.ID).Msg("request not run: its effect could not be recorded")
+// effectRecord is a call of EffectLog.Begin for one request.
+type effectRecord struct {
+	log    EffectLog
+	id     string
+	result chan effectRecorded
+}
+
+// beginEffect records an effect on a goroutine of its own, and passes the result to recorded. ctx ends once nobody waits for it.
+func (c *Core) beginEffect(ctx context.Context, id string, recorded func(effectRecorded)) *effectRecord {
+	record := &effectRecord{c.effectLog, id, make(chan effectRecorded, 1)}
+	go func() {
+		fresh, err := c.effectLog.Begin(ctx, id)
+		if err != nil {
+			c.log.Warn().Err(err).Str("id", id).Msg("request not run: its effect could not be recorded")
+		}
+		result := effectRecorded{fresh && err == nil, err}
+		record.result <- result
+		recorded(result)
+	}()
+	return record
+}
+
+// abandon reports to the effect log that an effect did not run whose record was not awaited. The record may come into being
+// later, also if it was reported as failed.
+func (r *effectRecord) abandon() {
+	recorder, ok := r.log.(EffectEndRecorder)
+	if !ok {
+		return
 	}
-	return ok && err == nil, err
+	go func() {
+		if result := <-r.result; result.fresh || result.err != nil {
+			recorder.Ended(r.id, false)
+		}
+	}()
 }
 
 // memoryEffectLog is an effect log in memory for the effects started by this process. It keeps each effect for as long as
@@ -46,7 +69,7 @@
 	return &memoryEffectLog{clock: clk, started: map[effectID]struct{}{}}
 }
 
-func (m *memoryEffectLog) Begin(id string) (bool, error) {
+func (m *memoryEffectLog) Begin(_ context.Context, id string) (bool, error) {
 	var e effectID
 	if n, err := hex.Decode(e[:], []byte(id)); err != nil || n != len(e) {
 		return false, fmt.Errorf("%q is not 16 hex digits", id)
--- a/internal/core/handler.go
+++ b/internal/core/handler.go
@@ -35,10 +35,14 @@
 	callerGone        struct{}
 	dismissed         struct{} // the caller is gone, and the module never started the request
 	failUnlessStarted struct{} // the request must fail unless it has started
-	startPending      struct{} // the module started a keyed request that needs the permission of another process
-	startPermitted    struct{} // the request may run now
-	startDenied       struct{} // the module started a keyed request that must not run
-	sharedResult      struct { // a result of the same read, or of another attempt of a keyed request
+	effectRecorded    struct { // the result of EffectLog.Begin
+		fresh bool
+		err   error
+	}
+	startPending   struct{} // the module started a keyed request that needs the permission of another process
+	startPermitted struct{} // the request may run now
+	startDenied    struct{} // the module started a keyed request that must not run
+	sharedResult   struct { // a result of the same read, or of another attempt of a keyed request
 		ok     bool
 		result []byte
 		notRun bool // the other attempt was not run after all
@@ -142,8 +146,8 @@
 			// A retry of the request would not be recognized as such and would run again, so the request is refused.
 			c.log.Warn().Str("id", h.request.ID).Str("class", h.request.Class).
 				Msg("keyed request not run: the key table is full, or another process may run keyed requests")
-			h.answer(Outcome{Verdict: Refused, RetryAfterMS: refusalRetryAfterMS})
 			h.endUnrun()
+			h.refuseUnrun()
 			return false
 		case startPending:
 			return true
@@ -174,49 +178,87 @@
 // ended before.
 func (h *Handler) awaitPermission() bool {
 	for !h.permitted {
-		switch m := h.inbox.Next().(type) {
+		message := h.inbox.Next()
+		switch m := message.(type) {
 		case startPermitted:
 			h.permitted = true
 		case sharedResult: // another process has started an attempt of the request
-			h.share(m)
-			h.endUnrun()
-			return false
-		case policy.Fail, policy.Refuse:
-			h.fail() // not a refusal, since another process may have started an attempt of the request
-			h.endUnrun()
-			return false
-		case failUnlessStarted:
-			h.answer(Outcome{Verdict: Failed})
 			h.endUnrun()
+			h.share(m)
 			return false
-		case callerGone:
-			h.gone = true
-			h.core.send(h, policy.CallerGone{ID: h.id})
-			h.endUnrun()
+		}
+		// At the due time this is not a refusal, since another process may have started an attempt of the request.
+		if h.endsBeforeRun(message, h.fail) {
 			return false
 		}
 	}
 	return true
 }
 
-// recordEffect records the effect of a started request before it runs. It returns false if the request must not run.
+// recordEffect records the effect of a request before it runs. It waits for the record while the request may still run: an
+// effect log may depend on another machine, which must not delay the answer past its due time. It returns false if the request
+// ended without having run.
 func (h *Handler) recordEffect() bool {
-	c := h.core
-	ok, err := c.recordEffect(h.request, h.class)
-	if ok {
+	if h.class.Safety == policy.Safe {
 		return true
 	}
-	// An effect that could not be recorded may be retried on another server; one that was started before may not.
-	if err != nil {
-		h.answer(Outcome{Verdict: Refused, RetryAfterMS: refusalRetryAfterMS})
-	} else {
-		h.answer(Outcome{Verdict: Failed})
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	record := h.core.beginEffect(ctx, h.request.ID, func(r effectRecorded) { h.inbox.Put(r) })
+	for {
+		message := h.inbox.Next()
+		if r, recorded := message.(effectRecorded); recorded {
+			return h.mayRun(r)
+		}
+		// The request has not run and never will, so that it may be retried. This also holds if its record comes later.
+		if h.endsBeforeRun(message, h.refuseUnrun) {
+			record.abandon()
+			return false
+		}
+	}
+}
+
+// mayRun reports whether the request may run, and ends it if not.
+func (h *Handler) mayRun(r effectRecorded) bool {
+	if r.fresh {
+		return true
 	}
 	h.endUnrun()
+	if r.err != nil {
+		h.refuseUnrun()
+	} else {
+		h.answer(Outcome{Verdict: Failed}) // started before, so it must not be retried on another server
+	}
 	return false
 }
 
-// endUnrun reports to the module that a request that it has started never ran.
+// endsBeforeRun ends a request that has not run, if a message says so, and reports whether it did: the module gives it up at its
+// due time or before the stop, its caller is gone, or its connection sends forged requests.
+func (h *Handler) endsBeforeRun(message any, giveUp func()) bool {
+	switch message.(type) {
+	case policy.Fail, policy.Refuse:
+		h.endUnrun()
+		giveUp()
+	case failUnlessStarted:
+		h.endUnrun()
+		h.answer(Outcome{Verdict: Failed})
+	case callerGone:
+		h.gone = true
+		h.core.send(h, policy.CallerGone{ID: h.id})
+		h.endUnrun()
+	default:
+		return false
+	}
+	return true
+}
+
+// refuseUnrun refuses a request that the module has started and that did not run.
+func (h *Handler) refuseUnrun() {
+	h.answer(Outcome{Verdict: Refused, RetryAfterMS: refusalRetryAfterMS})
+}
+
+// endUnrun reports to the module that a request that it has started never ran. It precedes the answer, so that a retry that the
+// caller sends at once does not take this attempt for a running one.
 func (h *Handler) endUnrun() {
 	h.core.send(h, policy.Finished{ID: h.id, Outcome: policy.NotRun})
 }
--- a/internal/core/replacement_test.go
+++ b/internal/core/replacement_test.go
@@ -55,8 +55,11 @@
 }
 
 // newKeyedFixture returns a fixture with a class of keyed requests, of which as many run at once as there are cores.
-func newKeyedFixture(t *testing.T, cores int) *fixture {
-	r := newFixture(t, nil)
+func newKeyedFixture(t *testing.T, cores int) *fixture { return newKeyedFixtureWithLog(t, nil, cores) }
+
+// newKeyedFixtureWithLog is newKeyedFixture with the given effect log.
+func newKeyedFixtureWithLog(t *testing.T, effectLog EffectLog, cores int) *fixture {
+	r := newFixture(t, effectLog)
 	set := testSettings
 	set.Cores, set.MaxRunningPerCore = cores, 1.5
 	set.Classes = append(slices.Clone(set.Classes), policy.Class{Name: "pay", Aim: 2 * time.Second, Deadline: 5 * time.Second, Worth: 4,
--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -126,8 +126,9 @@
 // EffectLog records the IDs of effects that were started, so that none starts twice.
 type EffectLog interface {
 	// Begin records an effect before it runs. It returns false if the effect was started before, and an error if the
-	// effect could not be recorded.
-	Begin(id string) (bool, error)
+	// effect could not be recorded. It may block; once ctx ends, the effect does not run, and Begin should return. The
+	// record may come into being all the same.
+	Begin(ctx context.Context, id string) (bool, error)
 }
 
 // EffectEndRecorder is implemented by an EffectLog that also records how effects end. It must not block.
--- a/internal/net/session/client.go
+++ b/internal/net/session/client.go
@@ -451,14 +451,14 @@
 	return json.Unmarshal(response.Body, result)
 }
 
-// Begin records an effect in the replicated store before its attempt, under this process's presence. Begin and Ended make the
-// client the effect log that package core writes to.
-func (c *Client) Begin(id string) (bool, error) {
+// Begin records an effect in the replicated store before its attempt, under this process's presence. Once ctx ends, it waits no
+// longer; the effect may be recorded later. Begin and Ended make the client the effect log that package core writes to.
+func (c *Client) Begin(ctx context.Context, id string) (bool, error) {
 	presence, ok := c.ActiveGrant(duty.PresenceName(c.options.ProcessID))
 	if !ok {
 		return false, fmt.Errorf("%w: no presence lease in force", ErrNotExecuted)
 	}
-	r, err := c.Do(context.Background(), state.Command{Op: state.OpBeginEffect, Key: id, Process: c.options.ProcessID,
+	r, err := c.Do(ctx, state.Command{Op: state.OpBeginEffect, Key: id, Process: c.options.ProcessID,
 		Epoch: presence.Epoch, NoEviction: true})
 	return err == nil && r.WasAbsent, err
 }
--- a/internal/net/session/session_test.go
+++ b/internal/net/session/session_test.go
@@ -162,10 +162,10 @@
 		c.FencedCommands() != 1 {
 		t.Errorf("forged epoch: error %v, %d fenced commands counted", err, c.FencedCommands())
 	}
-	if fresh, err := c.Begin("0a"); !fresh || err != nil {
+	if fresh, err := c.Begin(context.Background(), "0a"); !fresh || err != nil {
 		t.Errorf("%v %v", fresh, err)
 	}
-	if fresh, err := c.Begin("0a"); fresh || err != nil {
+	if fresh, err := c.Begin(context.Background(), "0a"); fresh || err != nil {
 		t.Errorf("second begin of the same effect: fresh %v, error %v", fresh, err)
 	}
 	var status DutyStatus
@@ -197,6 +197,29 @@
 	}
 }
 
+// A caller's context ends the wait for the record of an effect. The record may come into being later: then the same effect is not
+// new any more.
+func TestContextEndsWaitForRecord(t *testing.T) {
+	steady := clock.Monotonic()
+	leader := startServer(t, newLeader(state.New()), steady)
+	c, events := startClient(t, "a#1", map[string]string{"lead": leader.address}, steady)
+	waitForEvent(t, events, isAllotterGrant)
+	ended, cancel := context.WithCancel(t.Context())
+	cancel()
+	for n := 1; ; n++ {
+		id := fmt.Sprintf("%02x", n)
+		if _, err := c.Begin(ended, id); err == nil && n < 100 {
+			continue // the reply came first
+		} else if !errors.Is(err, ErrUnconfirmed) {
+			t.Fatalf("error %v, want %v", err, ErrUnconfirmed)
+		}
+		if fresh, err := c.Begin(t.Context(), id); fresh || err != nil {
+			t.Errorf("the effect was not recorded later: fresh %v, error %v", fresh, err)
+		}
+		return
+	}
+}
+
 // A message that violates the protocol ends its own connection and changes no state.
 func TestMalformedMessageClosesConnection(t *testing.T) {
 	leader := startServer(t, newLeader(state.New()), clock.Monotonic())
--- a/internal/store/join.go
+++ b/internal/store/join.go
@@ -80,7 +80,7 @@
 // sendClaims sends claims to one peer until the replica is closed.
 func (s *Store) sendClaims(id, address string) {
 	for s.ctx.Err() == nil {
-		if conn, err := s.mux.dial(address, purposeClaims, writeTimeout); err == nil {
+		if conn, err := s.mux.dial(s.ctx, address, purposeClaims, writeTimeout); err == nil {
 			stop := context.AfterFunc(s.ctx, func() { conn.Close() })
 			s.exchangeClaims(conn, id)
 			stop()
--- a/internal/store/join_test.go
+++ b/internal/store/join_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/binary"
 	"errors"
 	"fmt"
@@ -393,7 +394,7 @@
 	cluster.waitVoters("a", "b", "c")
 	for i := range 40 {
 		for {
-			fresh, err := cluster.replicas["a"].Begin(fmt.Sprint("e", i))
+			fresh, err := cluster.replicas["a"].Begin(context.Background(), fmt.Sprint("e", i))
 			if err == nil && !fresh {
 				t.Fatal("the effect is already begun")
 			}
@@ -428,7 +429,7 @@
 		cluster.waitVoters("a", "b", "c")
 	}
 	for id, n := range cluster.replicas {
-		if fresh, err := n.Begin("e7"); fresh || err != nil {
+		if fresh, err := n.Begin(context.Background(), "e7"); fresh || err != nil {
 			t.Errorf("%s: effect begun twice: %v %v", id, fresh, err)
 		}
 		if n.Status().Halted {
@@ -445,7 +446,7 @@
 	cluster.waitVoters("a", "b", "c")
 	cluster.write("a", "k")
 	leader := cluster.replicas[cluster.replicas["a"].Status().Leader]
-	if _, err := leader.Begin("e"); err != nil {
+	if _, err := leader.Begin(context.Background(), "e"); err != nil {
 		t.Fatal(err)
 	}
 	for _, id := range []string{"a", "b", "c"} {
@@ -461,7 +462,7 @@
 		n.fsm.mu.Unlock()
 	}
 	cluster.waitStatus(leader.o.ID, "want it to halt effects", func(st Status) bool { return st.Halted })
-	if _, err := leader.Begin("f"); !errors.Is(err, ErrReplicasDiverged) {
+	if _, err := leader.Begin(context.Background(), "f"); !errors.Is(err, ErrReplicasDiverged) {
 		t.Errorf("effect begun without a majority state: %v", err)
 	}
 	if err := leader.Set("other", []byte("v")); err != nil {
--- a/internal/store/layer.go
+++ b/internal/store/layer.go
@@ -1,6 +1,7 @@
 package store
 
 import (
+	"context"
 	"io"
 	"net"
 	"sync"
@@ -81,7 +82,7 @@
 
 // Dial opens a raft connection and sends the cluster name.
 func (l *raftLayer) Dial(address raft.ServerAddress, timeout time.Duration) (net.Conn, error) {
-	conn, err := l.dial(string(address), purposeRaft, timeout)
+	conn, err := l.dial(context.Background(), string(address), purposeRaft, timeout)
 	if err != nil {
 		return nil, err
 	}
@@ -172,11 +173,13 @@
 	return m.Listener.Close()
 }
 
-func (m *multiplexer) dial(address string, purpose byte, timeout time.Duration) (net.Conn, error) {
+// dial opens a connection to a replica and states its purpose. It gives up after the timeout, or once ctx ends.
+func (m *multiplexer) dial(ctx context.Context, address string, purpose byte, timeout time.Duration) (net.Conn, error) {
 	if override := m.addressOverrides[address]; override != "" {
 		address = override
 	}
-	conn, err := net.DialTimeout("tcp", address, timeout)
+	dialer := net.Dialer{Timeout: timeout}
+	conn, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -314,19 +314,20 @@
 
 // Set writes a key.
 func (s *Store) Set(key string, value []byte) error {
-	_, err := s.write(state.Command{Op: state.OpSet, Key: key, Value: value})
+	_, err := s.write(context.Background(), state.Command{Op: state.OpSet, Key: key, Value: value})
 	return err
 }
 
 // Delete removes a key.
 func (s *Store) Delete(key string) error {
-	_, err := s.write(state.Command{Op: state.OpDelete, Key: key})
+	_, err := s.write(context.Background(), state.Command{Op: state.OpDelete, Key: key})
 	return err
 }
 
-// Begin records that an effect begins; it returns false if the effect is recorded already.
-func (s *Store) Begin(id string) (bool, error) {
-	return s.write(state.Command{Op: state.OpBeginEffect, Key: id})
+// Begin records that an effect begins; it returns false if the effect is recorded already. Once ctx ends, it does not wait for
+// another replica any longer; the effect may be recorded later.
+func (s *Store) Begin(ctx context.Context, id string) (bool, error) {
+	return s.write(ctx, state.Command{Op: state.OpBeginEffect, Key: id})
 }
 
 // Snapshot writes a snapshot of the state to the replica's data directory.
@@ -347,13 +348,13 @@
 
 // write passes a command to the leader, on this replica or another. It is sent only once: a command without a response may have
 // been committed.
-func (s *Store) write(c state.Command) (bool, error) {
+func (s *Store) write(ctx context.Context, c state.Command) (bool, error) {
 	var r state.Result
 	var err error
 	if _, isLeader := s.Leadership(); isLeader {
 		r, err = s.apply(c)
 	} else {
-		r, err = s.forward(c)
+		r, err = s.forward(ctx, c)
 	}
 	if err == nil && r.Error != "" {
 		err = errors.New(r.Error)
@@ -361,7 +362,8 @@
 	return err == nil && r.WasAbsent, err
 }
 
-func (s *Store) forward(c state.Command) (r state.Result, err error) {
+// forward passes a command to the leader on another replica, and waits for its response until ctx ends.
+func (s *Store) forward(ctx context.Context, c state.Command) (r state.Result, err error) {
 	active := s.active.Load()
 	if active == nil {
 		return r, ErrNoQuorum
@@ -370,11 +372,13 @@
 	if address == "" {
 		return r, ErrNoQuorum
 	}
-	conn, err := s.mux.dial(string(address), purposeWrites, writeTimeout)
+	conn, err := s.mux.dial(ctx, string(address), purposeWrites, writeTimeout)
 	if err != nil {
 		return r, fmt.Errorf("%w: %v", ErrNoQuorum, err)
 	}
 	defer conn.Close()
+	stop := context.AfterFunc(ctx, func() { conn.Close() })
+	defer stop()
 	conn.SetDeadline(time.Now().Add(2 * writeTimeout))
 	var response writeResponse
 	if err = json.NewEncoder(conn).Encode(c); err == nil {
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
+	"net"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -77,7 +79,7 @@
 	}
 	waitReady(t, s)
 	setValue(t, s, "config", "one")
-	if fresh, err := s.Begin("e1"); !fresh || err != nil {
+	if fresh, err := s.Begin(context.Background(), "e1"); !fresh || err != nil {
 		t.Fatalf("first Begin of the effect: %v %v", fresh, err)
 	}
 	if err := s.Snapshot(); err != nil {
@@ -97,7 +99,7 @@
 	waitValue(t, s, "config", "one")
 	waitValue(t, s, "inventory", "after the snapshot")
 	setValue(t, s, "config", "two")
-	if fresh, err := s.Begin("e1"); fresh || err != nil {
+	if fresh, err := s.Begin(context.Background(), "e1"); fresh || err != nil {
 		t.Errorf("effect begun before the restart is begun again: %v %v", fresh, err)
 	}
 	if _, ok := s.Get("drain/a"); ok {
@@ -138,12 +140,72 @@
 	if err := replicas[2].Set("after", []byte("two lost")); !errors.Is(err, ErrNoQuorum) {
 		t.Errorf("write without a quorum: %v, want %v", err, ErrNoQuorum)
 	}
-	if fresh, err := replicas[2].Begin("e"); fresh || !errors.Is(err, ErrNoQuorum) {
+	if fresh, err := replicas[2].Begin(context.Background(), "e"); fresh || !errors.Is(err, ErrNoQuorum) {
 		t.Errorf("effect without a quorum: %v %v", fresh, err)
 	}
 	replicas[2].Close()
 }
 
+// silentListener is a listener on which a replica accepts no connection any more once silent is set; those that it has stay.
+type silentListener struct {
+	net.Listener
+	silent atomic.Bool
+}
+
+func (l *silentListener) Accept() (net.Conn, error) {
+	for {
+		conn, err := l.Listener.Accept()
+		if err != nil || !l.silent.Load() {
+			return conn, err
+		}
+		defer conn.Close()
+	}
+}
+
+// The leader does not respond to a forwarded effect. The caller's context ends the wait, which otherwise lasts as long as the
+// timeout of a response. Guards against waits that outlast the due time of a request.
+func TestContextEndsWaitForSilentLeader(t *testing.T) {
+	peers := map[string]string{}
+	listeners := map[string]*silentListener{}
+	replicas := map[string]*Store{}
+	for _, id := range []string{"a", "b", "c"} {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		listeners[id] = &silentListener{Listener: ln}
+		s, err := Open(Options{ID: id, Listener: listeners[id], Dir: t.TempDir()})
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { s.Close() })
+		peers[id], replicas[id] = s.Addr(), s
+	}
+	for _, s := range replicas {
+		if err := s.Start(peers); err != nil {
+			t.Fatal(err)
+		}
+	}
+	waitReady(t, slices.Collect(maps.Values(replicas))...)
+	setValue(t, replicas["a"], "k", "v") // raft's connections are established
+	leader := replicas["a"].Leader()
+	follower := replicas["a"]
+	if leader == "a" {
+		follower = replicas["b"]
+		waitValue(t, follower, "k", "v")
+	}
+	listeners[leader].silent.Store(true)
+	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+	defer cancel()
+	begun := time.Now()
+	if fresh, err := follower.Begin(ctx, "e"); fresh || !errors.Is(err, ErrNoQuorum) {
+		t.Errorf("fresh %v, error %v", fresh, err)
+	}
+	if took := time.Since(begun); took >= 2*writeTimeout {
+		t.Errorf("the wait lasted %s, as long as without a context", took)
+	}
+}
+
 func TestCloseDoesNotWaitForBlockedRaft(t *testing.T) {
 	never := make(chan struct{})
 	defer close(never)
@@ -172,7 +234,7 @@
 					defer all.Done()
 					for n := next.Add(1); n <= int64(b.N); n = next.Add(1) {
 						begun := time.Now()
-						if fresh, err := leader.Begin(fmt.Sprint("e", n)); !fresh || err != nil {
+						if fresh, err := leader.Begin(context.Background(), fmt.Sprint("e", n)); !fresh || err != nil {
 							b.Error(fresh, err)
 							return
 						}
