Fail retries of keyed requests that a process of an earlier build may have run

What callers saw: not observed. Beside a predecessor or successor of an earlier build, and for the window after its end, a retry of a keyed request got `later`, although that process may have run an earlier attempt.

Evidence: TestRetryOfUnknownAttemptIsNotRefused fails without the change: verdict 1 (refused) for a marked retry beside the other process, after its end, and at the end of the window.

Change: such a request is refused only if it is a first attempt, which callers that mark their retries show; else it fails.

Why this works: a failure does not promise that nothing ran. Of a first attempt nothing can have run before.

Tests: TestNoKeyedRequestsUntilOlderPredecessorExits sends first attempts, so its settings now say that retries are marked.

--- a/cmd/puffinsaddle/main_test.go
+++ b/cmd/puffinsaddle/main_test.go
@@ -438,6 +438,7 @@
 	c := core.New(clk, zerolog.Nop(), policy.Settings{
 		Classes: []policy.Class{{Name: "pay", Aim: time.Minute, Deadline: time.Minute, Worth: 1, Safety: policy.Keyed, KeyTTL: time.Second}},
 		Cores:   8, MemoryKB: 1e6, RunMemoryFactor: 4, MaxRunningPerCore: 8, BusyGauge: -1, RunnableGauge: -1, MemoryGauge: -1, ConnectionGauge: -1,
+		MarksRetry: true,
 	}, 1, recordingRunner{starts}, nil, nil)
 	c.RunnerStarted(false)
 	go c.Run()
--- a/internal/core/handler.go
+++ b/internal/core/handler.go
@@ -41,8 +41,10 @@
 	}
 	startPending   struct{} // the module started a keyed request that needs the permission of another process
 	startPermitted struct{} // the request may run now
-	startDenied    struct{} // the module started a keyed request that must not run
-	sharedResult   struct { // a result of the same read, or of another attempt of a keyed request
+	startDenied    struct { // the module started a keyed request that must not run
+		mayHaveRun bool // another attempt of it may have run
+	}
+	sharedResult struct { // a result of the same read, or of another attempt of a keyed request
 		ok     bool
 		result []byte
 		notRun bool // the other attempt was not run after all
@@ -143,11 +145,7 @@
 		case dismissed:
 			return false
 		case startDenied:
-			// A retry of the request would not be recognized as such and would run again, so the request is refused.
-			c.log.Warn().Str("id", h.request.ID).Str("class", h.request.Class).
-				Msg("keyed request not run: the key table is full, or another process may run keyed requests")
-			h.endUnrun()
-			h.refuseUnrun()
+			h.denyStart(m.mayHaveRun)
 			return false
 		case startPending:
 			return true
@@ -174,6 +172,19 @@
 	}
 }
 
+// denyStart ends a keyed request that must not run, since a retry of it would not be recognized as such and would run again. It is
+// refused only if no other attempt of it can have run.
+func (h *Handler) denyStart(mayHaveRun bool) {
+	h.core.log.Warn().Str("id", h.request.ID).Str("class", h.request.Class).Bool("may_have_run", mayHaveRun).
+		Msg("keyed request not run: the key table is full, or another process may run keyed requests")
+	h.endUnrun()
+	if mayHaveRun {
+		h.answer(Outcome{Verdict: Failed})
+		return
+	}
+	h.refuseUnrun()
+}
+
 // awaitPermission waits until the other processes of the server permit the request to run. It returns false if the request
 // ended before.
 func (h *Handler) awaitPermission() bool {
--- a/internal/core/replacement.go
+++ b/internal/core/replacement.go
@@ -191,8 +191,11 @@
 	case e == nil && c.keys.startedAttempt(h) != nil:
 		h.inbox.Put(startPending{})
 		c.shareElsewhere(h)
-	case e == nil || state.uncoordinated > 0 || now < state.noStartBefore:
+	case e == nil:
 		h.inbox.Put(startDenied{})
+	case state.uncoordinated > 0 || now < state.noStartBefore:
+		// Of a first attempt nothing can have run yet. Another one may be a retry of what the other process has run.
+		h.inbox.Put(startDenied{mayHaveRun: h.request.Retry || !c.settings.MarksRetry})
 	case state.successor != nil:
 		e.started = true
 		h.inbox.Put(startPending{})
--- a/internal/core/replacement_test.go
+++ b/internal/core/replacement_test.go
@@ -127,6 +127,42 @@
 	}
 }
 
+// Another process may have started keyed requests that this one does not know of, while it runs and for the window after its end. A
+// first attempt is refused, and a retry fails, since its request may have run. Guards against a refusal of a request that has run.
+func TestRetryOfUnknownAttemptIsNotRefused(t *testing.T) {
+	for _, marksRetry := range []bool{true, false} {
+		r := newKeyedFixture(t, 8)
+		r.runAndWait(func() { r.settings.MarksRetry = marksRetry })
+		id := 0
+		check := func(retry bool, want Verdict) {
+			t.Helper()
+			id++
+			q := &Request{ID: fmt.Sprintf("%016x", id), Class: "pay", ArrivedAt: r.clock.Now(), WaitMS: 3000, KB: 1, IdempotencyKey: fmt.Sprintf("%02x", id), Retry: retry}
+			r.Open(q, func(o Outcome) { r.answers <- fmt.Sprint(o.Verdict) })
+			if got := <-r.answers; got != fmt.Sprint(want) {
+				t.Errorf("retries marked: %v, retry: %v: verdict %s, want %d", marksRetry, retry, got, want)
+			}
+		}
+		first := Refused // of an unmarked attempt
+		if !marksRetry {
+			first = Failed
+		}
+		r.ExportKeyedAttempts(nil)
+		check(false, first)
+		check(true, Failed)
+		r.ResumeKeyedStarts()
+		r.settle()
+		check(false, first)
+		check(true, Failed)
+		r.clock.Set(startMS + 30000)
+		check(false, first)
+		check(true, Failed)
+		r.clock.Set(startMS + 30000 + clockSlackMS)
+		r.Open(&Request{ID: fmt.Sprintf("%016x", 99), Class: "pay", ArrivedAt: r.clock.Now(), WaitMS: 3000, KB: 1, IdempotencyKey: "ff"}, func(Outcome) {})
+		<-r.runner.started
+	}
+}
+
 // A request waits for the result of another process's attempt until its due time, or until its caller goes. Guards against
 // requests that stay open for as long as that attempt runs.
 func TestWaitForOtherProcessEndsAtDueTime(t *testing.T) {
--- a/internal/net/replacement_test.go
+++ b/internal/net/replacement_test.go
@@ -29,33 +29,41 @@
 	return &keyedProcess{h, x, clk}
 }
 
-// offer offers a socket to successors as a running process does, and returns the path of the offer.
-func (p *keyedProcess) offer() (path string) {
+// notifyingPredecessor is a Predecessor that also tells the test when a successor has ended.
+type notifyingPredecessor struct {
+	handover.Predecessor
+	successorEnded chan struct{}
+}
+
+func (n notifyingPredecessor) SuccessorEnded(successor *handover.Link) {
+	n.Predecessor.SuccessorEnded(successor)
+	close(n.successorEnded)
+}
+
+// connect offers a socket to successors as a running process does, and connects to it as its successor. After the end of that
+// connection, successorEnded is closed.
+func (p *keyedProcess) connect() (predecessor net.Conn, successorEnded <-chan struct{}) {
 	p.t.Helper()
-	path = filepath.Join(p.t.TempDir(), "n1.handover")
+	path := filepath.Join(p.t.TempDir(), "n1.handover")
 	socket := newExecutor(p.t).ln.(*net.TCPListener)
-	offer, err := handover.New(path, map[string]*net.TCPListener{"there": socket}, handover.KeyedAttempts(p.core, zerolog.Nop()), zerolog.Nop())
+	ended := make(chan struct{})
+	offer, err := handover.New(path, map[string]*net.TCPListener{"there": socket},
+		notifyingPredecessor{handover.KeyedAttempts(p.core, zerolog.Nop()), ended}, zerolog.Nop())
 	must(p.t, err)
 	p.t.Cleanup(offer.Close)
-	return path
-}
-
-// connect connects to a process as its successor does.
-func (p *keyedProcess) connect() net.Conn {
-	p.t.Helper()
-	sockets, predecessor, err := handover.Take(p.offer())
+	sockets, predecessor, err := handover.Take(path)
 	if must(p.t, err); len(sockets) != 1 {
 		p.t.Fatalf("%d sockets", len(sockets))
 	}
 	sockets["there"].Close()
 	p.t.Cleanup(func() { predecessor.Close() })
-	return predecessor
+	return predecessor, ended
 }
 
 // startSuccessor starts a process that serves beside this one. To both, endLink has the effect of the other's end.
 func (p *keyedProcess) startSuccessor() (successor *keyedProcess, endLink func() error) {
 	p.t.Helper()
-	predecessor := p.connect()
+	predecessor, _ := p.connect()
 	successor = newKeyedProcess(p.t, p.clk)
 	handover.ImportKeyedAttempts(successor.core, predecessor, zerolog.Nop())
 	return successor, predecessor.Close
@@ -119,7 +127,7 @@
 	old.succeed(1, binaryBody)
 	p.want("1", "done", "", binaryBody)
 	old.run(p, 2, 2, "bb")
-	predecessor := old.connect()
+	predecessor, _ := old.connect()
 	old.run(p, 3, 3, "cc") // the successor does not serve yet
 	next := newKeyedProcess(t, old.clk)
 	handover.ImportKeyedAttempts(next.core, predecessor, zerolog.Nop())
@@ -249,7 +257,7 @@
 	old.succeed(1, "A")
 	p.want("1", "done", "", "A")
 	old.run(p, 2, 2, "bb")
-	successor := old.connect()
+	successor, successorEnded := old.connect()
 	successor.Write([]byte{2}) // its format version
 	header := make([]byte, 9)
 	if _, err := io.ReadFull(successor, header); err != nil || header[0] != 3 {
@@ -264,23 +272,20 @@
 	}
 	p.sendPayment(3, 3, startMS, "cc", "a")
 	p.want("3", "later")
+	p.sendRequest(10, 10, "pay", fmt.Sprintf(",at=%.0f,retry=1,once=ee", startMS), "a")
+	p.want("10", "error") // the successor may have run an earlier attempt
 	p.checkNoOtherRun(old.x, 9, 90, startMS)
 	p.sendPayment(4, 4, startMS, "aa", "a")
 	p.want("4", "done", "", "A")
 	old.succeed(2, "B")
 	p.want("2", "done", "", "B")
 	successor.Close()
-	at := startMS
-	for started := false; !started; { // the window counts only from when the end is noticed
-		at += keyWindowMS + 200
-		old.clk.Set(at)
-		p = old.router() // the other connection was idle for too long
-		p.sendPayment(5, int(at-startMS), at, "dd", "a")
-		p.sendRequest(6, int(at-startMS)+1, "book-delivery", fmt.Sprintf(",at=%.0f", at), "last")
-		command := old.x.want("EXEC")
-		if started = command.words[1] == id(int(at-startMS)); started {
-			continue
-		}
-		p.want("5", "later")
-	}
+	<-successorEnded
+	p.sendPayment(5, 5, startMS, "dd", "a")
+	p.want("5", "later")
+	p.sendRequest(6, 6, "pay", fmt.Sprintf(",at=%.0f,retry=1,once=dd", startMS), "a")
+	p.want("6", "error")
+	old.clk.Set(startMS + keyWindowMS + 101)
+	p = old.router() // the other connection was idle for too long
+	old.run(p, 7, 7, "dd")
 }
