Do not run a keyed request whose caller has gone before it is permitted

What callers saw: nothing. Beside another process, a keyed request whose caller had gone just before the module started it was run all the same, which wastes a run.

Cause: since the starts of the two processes are coordinated, the handler went on with the message that a permission is awaited without looking at whether its caller had gone. The other message of a start was checked.

Evidence: TestCallerGoneBeforeStart fails without the change for that message.

Change: both messages are checked in one place. Two further tests of a replacement: a full key table, and a class that new settings remove in one of the two processes; they pass without the change. TestQueuedAttemptWhileOtherProcessStartsRequest opened three attempts without waiting for the queue, so that another than the first could get its turn; it now waits.

--- a/internal/core/handler.go
+++ b/internal/core/handler.go
@@ -148,18 +148,23 @@
 			h.denyStart(m.mayHaveRun)
 			return false
 		case startPending:
-			return true
+			return h.goOn()
 		case policy.Start:
-			if h.gone { // the module started the request before it received CallerGone; nothing ran
-				h.endUnrun()
-				return false
-			}
 			h.permitted = true
-			return true
+			return h.goOn()
 		}
 	}
 }
 
+// goOn reports whether a request that the module has started goes on to its run, and ends it if its caller has gone before the
+// module learned of that.
+func (h *Handler) goOn() bool {
+	if h.gone {
+		h.endUnrun()
+	}
+	return !h.gone
+}
+
 // share answers the request with the result of another one.
 func (h *Handler) share(shared sharedResult) {
 	switch {
--- a/internal/core/replacement_test.go
+++ b/internal/core/replacement_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"puffinsaddle/internal/mailbox"
 	"puffinsaddle/policy"
 )
 
@@ -74,6 +75,14 @@
 	return r.Open(q, func(o Outcome) { r.answers <- fmt.Sprintf("%d %d %s", id, o.Verdict, o.Result) })
 }
 
+// payInQueue is pay, and waits until the attempt is in the queue, so that later ones come after it.
+func (r *fixture) payInQueue(id int, once string) {
+	r.pay(id, once)
+	for queued := false; !queued; {
+		r.runAndWait(func() { queued = r.keys.byKey[classKey{"pay", once, true}] != nil })
+	}
+}
+
 // settle waits until all earlier events have been processed.
 func (r *fixture) settle() { r.runAndWait(func() {}) }
 
@@ -107,10 +116,9 @@
 	running := <-r.runner.started
 	r.open(2, "book", "", startMS)
 	<-r.runner.started
-	r.pay(3, "aa")
-	r.pay(4, "bb")
-	r.pay(5, "cc")
-	r.settle()
+	r.payInQueue(3, "aa")
+	r.payInQueue(4, "bb")
+	r.payInQueue(5, "cc")
 	r.ReceiveFromPeer(peer, r.startedBy(13, "aa"))
 	r.ReceiveFromPeer(peer, r.startedBy(14, "bb"))
 	r.ReceiveFromPeer(peer, endedBy(14, "bb", "B"))
@@ -214,6 +222,20 @@
 	}
 }
 
+// A caller has gone when the module, which has not learned of it yet, starts its request: the request does not run, whether or not it
+// needs the permission of another process.
+func TestCallerGoneBeforeStart(t *testing.T) {
+	r := newKeyedFixture(t, 8)
+	for _, start := range []any{policy.Start{}, startPending{}} {
+		h := &Handler{core: r.Core, inbox: mailbox.New[any]()}
+		h.inbox.Put(callerGone{})
+		h.inbox.Put(start)
+		if h.awaitStart() {
+			t.Errorf("the request goes on to its run after %T", start)
+		}
+	}
+}
+
 // Two attempts of one request reach both processes at once. The new process starts its own, so the replaced one is denied the
 // start and answers with the result of the other.
 func TestDeniedClaimSharesResult(t *testing.T) {
@@ -231,6 +253,36 @@
 	}
 }
 
+// The key table is full beside another process: a request of which nothing was started is refused, and one that the other process
+// has started gets its result.
+func TestFullKeyTableBesideOtherProcess(t *testing.T) {
+	r, peer := newKeyedFixture(t, 8), newFakePeer(t)
+	r.runAndWait(func() { r.keys.maxBytes = entryOverheadBytes })
+	r.ImportKeyedAttempts(peer, []KeyedAttempt{*r.startedBy(11, "aa").Started})
+	r.pay(1, "bb")
+	r.wantAnswer(fmt.Sprintf("1 %d ", Refused))
+	r.pay(2, "aa")
+	r.settle()
+	r.ReceiveFromPeer(peer, endedBy(11, "aa", "A"))
+	r.wantAnswer("2 0 A")
+}
+
+// New settings remove a keyed class in one of the two processes only: a request that the other one runs is not refused there, and gets
+// the result once there is one.
+func TestClassRemovedBesideOtherProcess(t *testing.T) {
+	r, peer := newKeyedFixture(t, 8), newFakePeer(t)
+	r.ImportKeyedAttempts(peer, nil)
+	r.Adopt(testSettings)
+	r.ReceiveFromPeer(peer, r.startedBy(11, "aa"))
+	r.pay(1, "aa")
+	r.wantAnswer(fmt.Sprintf("1 %d ", Failed))
+	r.ReceiveFromPeer(peer, endedBy(11, "aa", "A"))
+	r.pay(2, "aa")
+	r.wantAnswer("2 0 A")
+	r.pay(3, "bb")
+	r.wantAnswer(fmt.Sprintf("3 %d ", Refused))
+}
+
 // A claim is granted, unless an attempt of the request was started here.
 func TestClaimIsDeniedOnceStarted(t *testing.T) {
 	r, peer := newKeyedFixture(t, 8), newFakePeer(t)
