Wait for the first record in the test of an effect that is not awaited

Cause, by reading the server: it executes each command on a goroutine of its own (Server.dispatch), so of two begins on one session the second may be applied first. The test took the order of sending for the order of the log, which nothing promises. Change: the test waits until the replica's state has the first record, and only then begins the effect again. That is stricter: the record has to come from the begin that was not awaited.

--- a/internal/net/session/session_test.go
+++ b/internal/net/session/session_test.go
@@ -197,7 +197,13 @@
 	}
 }
 
-// A caller's context ends the wait for the record of an effect. The record may come into being later: then the same effect is not
+// hasEffect reports whether an effect is recorded.
+func (f *fakeReplica) hasEffect(id string) (recorded bool) {
+	f.View(func(st *state.State, _ uint64) { recorded = st.Effects.Effects[id] != nil })
+	return recorded
+}
+
+// A caller's context ends the wait for the record of an effect. The record comes into being all the same: then the effect is not
 // new any more.
 func TestContextEndsWaitForRecord(t *testing.T) {
 	steady := clock.Monotonic()
@@ -206,17 +212,20 @@
 	waitForEvent(t, events, isAllotterGrant)
 	ended, cancel := context.WithCancel(t.Context())
 	cancel()
-	for n := 1; ; n++ {
-		id := fmt.Sprintf("%02x", n)
-		if _, err := c.Begin(ended, id); err == nil && n < 100 {
-			continue // the reply came first
-		} else if !errors.Is(err, ErrUnconfirmed) {
+	var id string
+	for n, err := 1, error(nil); err == nil; n++ { // without an error, the reply came first
+		id = fmt.Sprintf("%02x", n)
+		if _, err = c.Begin(ended, id); err != nil && !errors.Is(err, ErrUnconfirmed) || n > 100 {
 			t.Fatalf("error %v, want %v", err, ErrUnconfirmed)
 		}
-		if fresh, err := c.Begin(t.Context(), id); fresh || err != nil {
-			t.Errorf("the effect was not recorded later: fresh %v, error %v", fresh, err)
+	}
+	for deadline := time.Now().Add(testTimeout); !leader.replica.hasEffect(id); time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatal("the effect was not recorded")
 		}
-		return
+	}
+	if fresh, err := c.Begin(t.Context(), id); fresh || err != nil {
+		t.Errorf("second begin of the same effect: fresh %v, error %v", fresh, err)
 	}
 }
 
