Wait in a test until a process knows what its successor has started

TestAttemptThatDidNotRunIsReleased sends an attempt to the replaced process that has to wait for one of its successor, ends that one without a run, and expects that the waiting one is refused. Cause of a hang: the message of the start may come after the successor's attempt has ended. The claim of the second attempt is granted then, as it should be, and it runs; the test waits for an answer until its time limit.

Change: the replaced process first runs a payment of its own, whose permission follows the message of the start on the same connection. The checks are the same.

--- a/internal/net/replacement_test.go
+++ b/internal/net/replacement_test.go
@@ -88,6 +88,13 @@
 	router.checkNoOtherRun(p.x, 1000+tag, 1000+n, p.clk.Now())
 }
 
+// learnStarts waits until this process knows all attempts that its successor has started so far: they come before the permission of
+// a payment that it runs itself.
+func (p *keyedProcess) learnStarts(router *fakeRouter, tag, n int) {
+	p.t.Helper()
+	p.run(router, tag, n, fmt.Sprintf("c%d", n))
+}
+
 // A router's attempt reaches the new process and its next one the replaced process, over either front: it is not refused, does
 // not run there, and gets the result of the first. The same holds in the other direction. Guards against a replaced process
 // that refuses what its successor has run.
@@ -238,6 +245,7 @@
 		}
 		key := fmt.Sprintf("a%d", i)
 		end.starts.run(sender, 10+i, 10+i, key)
+		old.learnStarts(p, 40+i, 40+i)
 		end.waits.sendWaiting(waiting, 20+i, 20+i, key)
 		end.starts.x.sendNotice("EXIT", id(10+i)+" nothing 0", "")
 		sender.want(fmt.Sprint(10+i), "error")
