Share another process's result with attempts behind a denied claim

Callers saw: while one process replaced another, a further attempt of a keyed request got an error (502 at the uwsgi front), although the request was served.

Cause: two attempts reach the replaced process before the message that its successor has started the request. The first one claims it; the module lets the second wait for the end of the first. The claim is denied, and the first gets the successor's result, but to the module it ended without a run, so that its repeats fail.

Change: StartedElsewhere tells the module that the request was started by another process, before any end of it. Its repeats then wait for the result of the attempt that runs, as later ones do, up to their own due times.

--- a/internal/core/replacement.go
+++ b/internal/core/replacement.go
@@ -221,9 +221,13 @@
 	c.replacement.predecessor.Send(PeerMessage{Started: c.keys.byID[h.id].attempt()}, permit)
 }
 
-// shareElsewhere makes a request that the module has started share the result of the attempt that another process has started.
+// shareElsewhere makes a request that the module has started share the result of the attempt that another process has started. The
+// module lets the repeats that wait for the request share it too.
 func (c *Core) shareElsewhere(h *Handler) {
 	e := c.keys.startedAttempt(h)
+	if e != nil {
+		c.send(h, policy.StartedElsewhere{ID: h.id})
+	}
 	switch {
 	case e == nil: // that attempt was not started after all
 		h.inbox.Put(sharedResult{notRun: true})
--- a/internal/core/replacement_test.go
+++ b/internal/core/replacement_test.go
@@ -253,6 +253,26 @@
 	}
 }
 
+// Two attempts reach this process before it learns that the other one has started the request: the second waits for the first,
+// whose claim is denied, and both get the result. Guards against an error to an attempt whose request was served.
+func TestAttemptBehindDeniedClaimSharesResult(t *testing.T) {
+	r, peer := newKeyedFixture(t, 8), newFakePeer(t)
+	r.ExportKeyedAttempts(peer)
+	r.pay(1, "aa")
+	claim := peer.wantClaim(1)
+	r.pay(2, "aa")
+	r.settle()
+	r.ReceiveFromPeer(peer, r.startedBy(11, "aa"))
+	r.ReceiveFromPeer(peer, PeerMessage{Response: &ClaimResponse{RequestID: claim.RequestID}})
+	r.settle()
+	r.ReceiveFromPeer(peer, endedBy(11, "aa", "A"))
+	got := []string{<-r.answers, <-r.answers}
+	slices.Sort(got)
+	if want := []string{"1 0 A", "2 0 A"}; !slices.Equal(got, want) {
+		t.Errorf("answers %q, want %q", got, want)
+	}
+}
+
 // The key table is full beside another process: a request of which nothing was started is refused, and one that the other process
 // has started gets its result.
 func TestFullKeyTableBesideOtherProcess(t *testing.T) {
--- a/policy/api.go
+++ b/policy/api.go
@@ -127,6 +127,10 @@
 	Duration time.Duration
 }
 
+// StartedElsewhere reports that a Keyed request, after its Start, waits for the result of an attempt that
+// another process of the server has started, and does not run here. Finished follows.
+type StartedElsewhere struct{ ID ID }
+
 // CallNeeded reports that a running request waits for a downstream call to be made.
 type CallNeeded struct{ ID ID }
 
@@ -152,13 +156,14 @@
 	Gauges []float64
 }
 
-func (Arrived) event()      {}
-func (Finished) event()     {}
-func (CallNeeded) event()   {}
-func (CallReturned) event() {}
-func (CallerGone) event()   {}
-func (DrainNotice) event()  {}
-func (TimerFired) event()   {}
+func (Arrived) event()          {}
+func (Finished) event()         {}
+func (StartedElsewhere) event() {}
+func (CallNeeded) event()       {}
+func (CallReturned) event()     {}
+func (CallerGone) event()       {}
+func (DrainNotice) event()      {}
+func (TimerFired) event()       {}
 
 // Action is an output of an instance. The host carries out actions in the given order.
 type Action interface{ action() }
--- a/policy/guard_test.go
+++ b/policy/guard_test.go
@@ -179,6 +179,22 @@
 	r.want(r.after(99*ms), "Fail 2")
 }
 
+// Another process has started an attempt of a request that was to run here: its repeats share the result of that attempt, or fail at
+// their own deadlines. Guards against an error to them as soon as the request ends here.
+func TestRepeatsOfRequestStartedElsewhereShareItsResult(t *testing.T) {
+	r := newHarness(t, nil)
+	r.handle(keyedRequest(1))
+	r.handle(keyedRepeat(2, 1))
+	late := keyedRepeat(3, 1)
+	late.TimeLeft = 100 * ms
+	r.handle(late)
+	r.want(r.handle(StartedElsewhere{ID: 1}), "Share 2", "Share 3")
+	r.want(r.handle(Finished{ID: 1, Outcome: NotRun}))
+	r.want(r.after(99*ms), "Fail 3")
+	r.want(r.handle(done(2)))
+	r.want(r.handle(StartedElsewhere{ID: 1}, StartedElsewhere{ID: 9}))
+}
+
 func TestEqualReadsShareOneResult(t *testing.T) {
 	shareResults := func(s *Settings) { s.SharedResultTTL = 500 * ms }
 	read := func(id, original ID) Arrived {
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -159,6 +159,8 @@
 		n.arrive(e)
 	case Finished:
 		n.finish(e)
+	case StartedElsewhere:
+		n.startedElsewhere(e.ID)
 	case CallNeeded:
 		if r := n.requests[e.ID]; r != nil && r.state == running {
 			r.state, r.callAttempts = calling, 0
--- a/policy/repeats.go
+++ b/policy/repeats.go
@@ -71,6 +71,23 @@
 	n.scheduleCheck(r)
 }
 
+// startedElsewhere makes the repeats of a request share the result of the attempt that another process has
+// started. The end of the request itself says nothing about that attempt.
+func (n *Instance) startedElsewhere(id ID) {
+	r := n.requests[id]
+	if r == nil || r.state != running {
+		return
+	}
+	repeats := r.waiters
+	r.waiters = nil
+	for _, repeat := range repeats {
+		if repeat.state == coalesced {
+			repeat.primary = nil
+			n.shareResult(repeat)
+		}
+	}
+}
+
 // storeKey adds a request to the key table when it is enqueued, not when it starts: of two queued attempts
 // without an entry both would run. A keyed entry is valid until its KeyTTL has passed.
 func (n *Instance) storeKey(r *request) {
