Fail retries that another process may have run, also if the module refuses them

Callers would see: a replaced process that was paused answers later to a retry of a keyed request that its successor has started meanwhile, which says that the request never ran. Not observed; found by a search for the cause of the refusals beside a successor on related paths.

Cause: a retry that the module starts is claimed from the successor. One that it refuses at once, as overdue or because of overload, was refused unless this process knew of the other attempt. The message of that start may be unread, and a process of an earlier build sends none.

Evidence: TestOverdueRetryBesideOtherProcessIsNotRefused failed before with verdict 1 (refused) for retries beside a successor, beside a process that tells nothing, and in the window after its end. The pause itself was not played with processes.

Change: where another process may have run an attempt that is unknown here, a retry that the module refuses fails. First attempts are refused as before where callers mark their retries.

--- a/internal/core/module.go
+++ b/internal/core/module.go
@@ -202,7 +202,7 @@
 		}
 	case policy.Refuse:
 		if h := c.handlerOf(a.ID); h != nil {
-			c.refuse(h, a)
+			c.refuse(h, a, now)
 		}
 	case policy.Fail:
 		c.deliver(a.ID, a)
@@ -246,10 +246,13 @@
 	h.inbox.Put(sharedResult{ok: ok, result: result})
 }
 
-// refuse refuses a request, unless another process has started an attempt of it while it was queued here: a refusal would say
-// that nothing ran.
-func (c *Core) refuse(h *Handler, refusal policy.Refuse) {
-	switch e := c.keys.startedAttempt(h); {
+// refuse refuses a request, unless another process has started an attempt of it or may have done so: a refusal would say that
+// nothing ran.
+func (c *Core) refuse(h *Handler, refusal policy.Refuse, now float64) {
+	e := c.keys.startedAttempt(h)
+	switch {
+	case e == nil && h.class.Safety == policy.Keyed && c.otherProcessMayHaveRun(h.request, now):
+		h.inbox.Put(policy.Fail{ID: h.id})
 	case e == nil:
 		h.inbox.Put(refusal)
 	case e.ended:
--- a/internal/core/replacement.go
+++ b/internal/core/replacement.go
@@ -194,8 +194,7 @@
 	case e == nil:
 		h.inbox.Put(startDenied{})
 	case state.uncoordinated > 0 || now < state.noStartBefore:
-		// Of a first attempt nothing can have run yet. Another one may be a retry of what the other process has run.
-		h.inbox.Put(startDenied{mayHaveRun: h.request.Retry || !c.settings.MarksRetry})
+		h.inbox.Put(startDenied{mayHaveRun: c.otherProcessMayHaveRun(h.request, now)})
 	case state.successor != nil:
 		e.started = true
 		h.inbox.Put(startPending{})
@@ -211,6 +210,16 @@
 	}
 }
 
+// otherProcessMayHaveRun reports whether another process may have run an attempt of a keyed request that this one knows nothing of: a
+// successor whose message is still on its way, or a process that sends none. Of a first attempt nothing can have run yet.
+func (c *Core) otherProcessMayHaveRun(q *Request, now float64) bool {
+	state := &c.replacement
+	if state.successor == nil && state.uncoordinated == 0 && now >= state.noStartBefore {
+		return false
+	}
+	return q.IdempotencyKey != "" && (q.Retry || !c.settings.MarksRetry)
+}
+
 // announceStart permits a request to start, once the predecessor is told of it if there is one.
 func (c *Core) announceStart(h *Handler) {
 	permit := func() { h.inbox.Put(startPermitted{}) }
--- a/internal/core/replacement_test.go
+++ b/internal/core/replacement_test.go
@@ -171,6 +171,45 @@
 	}
 }
 
+// The module refuses an attempt at once, since it is overdue, while another process may have run an earlier one: a successor whose
+// message has not come yet, or a process that sends none. A first attempt is refused, and a retry fails. Guards against a refusal of
+// a request that has run.
+func TestOverdueRetryBesideOtherProcessIsNotRefused(t *testing.T) {
+	for _, marksRetry := range []bool{true, false} {
+		r := newKeyedFixture(t, 8)
+		r.runAndWait(func() { r.settings.MarksRetry = marksRetry })
+		id := 0
+		check := func(retry bool, want ...Verdict) {
+			t.Helper()
+			id++
+			q := &Request{ID: fmt.Sprintf("%016x", id), Class: "pay", ArrivedAt: startMS - 4000, WaitMS: 3000, KB: 1, IdempotencyKey: fmt.Sprintf("%02x", id), Retry: retry}
+			r.Open(q, func(o Outcome) { r.answers <- fmt.Sprint(o.Verdict) })
+			if got := <-r.answers; !slices.ContainsFunc(want, func(v Verdict) bool { return got == fmt.Sprint(v) }) {
+				t.Errorf("retries marked: %v, retry: %v: verdict %s, want one of %d", marksRetry, retry, got, want)
+			}
+		}
+		checkBoth := func() {
+			t.Helper()
+			if marksRetry {
+				check(false, Refused)
+			}
+			check(true, Failed, Overdue)
+		}
+		check(true, Refused)
+		peer := newFakePeer(t)
+		r.ExportKeyedAttempts(peer)
+		checkBoth()
+		r.PeerEnded(peer)
+		r.settle()
+		check(true, Refused)
+		r.SuspendKeyedStarts()
+		checkBoth()
+		r.ResumeKeyedStarts()
+		r.settle()
+		checkBoth()
+	}
+}
+
 // A request waits for the result of another process's attempt until its due time, or until its caller goes. Guards against
 // requests that stay open for as long as that attempt runs.
 func TestWaitForOtherProcessEndsAtDueTime(t *testing.T) {
