Run reads again that waited for a result which is too old for them

Callers would see: a read that waits for the end of an equal one gets an error, if that end is reported later than a result may be shared.

Cause: the module shared a result with all reads that waited for it, or came in one batch with its end. Only then the core checked whether it was fresh when they arrived, and those for which it was not failed.

Evidence: TestReadsRunAfterLateNotice before: answers "1 0 A", "2 0 A", "3 2 ", "4 2 ", the last two of which are failures; wants "3 0 B", "4 0 B".

Change: Finished states how old the result may be. The module shares it with the reads for which it was fresh, and lets one of the others run for all. The time of a call of the module is read after its events are taken, so that no read counts as arrived before it came.

--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -66,6 +66,13 @@
 	return r.Open(q, func(o Outcome) { r.answers <- fmt.Sprintf("%d %d %s", id, o.Verdict, o.Result) })
 }
 
+// waitForArrival waits until the arrival of a request of a known class has been processed.
+func (r *fixture) waitForArrival(h *Handler) {
+	for arrived := false; !arrived; runtime.Gosched() {
+		r.runAndWait(func() { arrived = h.knownClass })
+	}
+}
+
 func (r *fixture) succeed(a *Attempt, result string, took float64) {
 	a.Notify(Notice{Ended: true, Outcome: policy.OK, TookMS: took, Body: pool.Copy([]byte(result))})
 }
@@ -117,6 +124,32 @@
 	r.wantAnswer("6 0 D")
 }
 
+// The notice of a read's end is late, and other reads have come meanwhile: those for which its result is too old get that of a run of
+// their own. Guards against errors to reads that waited for a result which they must not share.
+func TestReadsRunAfterLateNotice(t *testing.T) {
+	r := newFixture(t, nil)
+	r.open(1, "read", "k", startMS)
+	first := <-r.runner.started
+	for i, arrivedMS := range []float64{150, 1000, 1001} {
+		r.clock.Set(startMS + arrivedMS)
+		r.waitForArrival(r.open(2+i, "read", "k", startMS+arrivedMS))
+	}
+	r.succeed(first, "A", 10)
+	var got []string
+	for len(got) < 4 {
+		select {
+		case answer := <-r.answers:
+			got = append(got, answer)
+		case second := <-r.runner.started:
+			r.succeed(second, "B", 1)
+		}
+	}
+	slices.Sort(got)
+	if want := []string{"1 0 A", "2 0 A", "3 0 B", "4 0 B"}; !slices.Equal(got, want) {
+		t.Errorf("answers %q, want %q", got, want)
+	}
+}
+
 // A request is answered at its due time without waiting for the gauges or for the end of its attempt.
 func TestAnswerAtDueTimeWithoutGauges(t *testing.T) {
 	r := newFixture(t, nil)
--- a/internal/core/module.go
+++ b/internal/core/module.go
@@ -29,14 +29,15 @@
 			continue
 		}
 		c.tickTimerSet = false
-		c.processInbox(now)
+		c.processInbox()
 	}
 }
 
 // processInbox takes all events from the inbox, completes them and calls the module with them. Events that change the
 // settings or the module's state are carried out between calls, so that events before them use the earlier state.
-func (c *Core) processInbox(now float64) {
+func (c *Core) processInbox() {
 	c.batch = c.inbox.TakeAll(c.batch)
+	now := c.clock.Now() // after all times that the events state
 	c.events = c.events[:0]
 	for _, e := range c.batch {
 		switch {
@@ -125,6 +126,10 @@
 		return ev
 	case policy.Finished:
 		c.tellEnd(c.keys.recordEnd(ev, e.notice), ev.Outcome == policy.NotRun)
+		if e.notice.Ended {
+			ev.ResultAge = clock.Duration(max(now-e.notice.MadeAt, 0))
+		}
+		return ev
 	}
 	return e.event
 }
--- a/policy/api.go
+++ b/policy/api.go
@@ -122,9 +122,10 @@
 
 // Finished reports that a run ended or that a shared result was sent.
 type Finished struct {
-	ID       ID
-	Outcome  Outcome
-	Duration time.Duration
+	ID        ID
+	Outcome   Outcome
+	Duration  time.Duration
+	ResultAge time.Duration // the longest time that may have passed since the result was made
 }
 
 // StartedElsewhere reports that a Keyed request, after its Start, waits for the result of an attempt that
--- a/policy/ends.go
+++ b/policy/ends.go
@@ -81,7 +81,7 @@
 		return
 	}
 	if e.Outcome == OK && (r.state == running || r.state == calling) {
-		r.succeeded = true
+		r.succeeded, r.resultMadeAt = true, n.now-max(e.ResultAge, 0)
 		n.learn(r, float64(e.Duration))
 	}
 	r.answered = true
--- a/policy/guard_test.go
+++ b/policy/guard_test.go
@@ -221,6 +221,38 @@
 	}
 }
 
+// A result comes late: reads that came while it was fresh share it, and one of the others runs for all of them. Guards against results
+// that are shared when they are too old, and against errors to the reads that waited for them.
+func TestLateResultIsSharedOnlyWhileFresh(t *testing.T) {
+	r := newHarness(t, func(s *Settings) { s.SharedResultTTL = 200 * ms })
+	read := func(id, original ID) Arrived {
+		a := safeRequest(id)
+		a.Key, a.Original, a.HasOriginal = "k", original, original != 0
+		return a
+	}
+	r.handle(read(1, 0))
+	r.after(150*ms, read(2, 1))
+	r.after(100*ms, read(3, 1))
+	fresh := read(4, 1)
+	fresh.Waited = 50 * ms // it reached the machine when the result was as old as it may be
+	r.handle(fresh)
+	r.after(50*ms, read(5, 1))
+	got := r.after(100*ms, Finished{ID: 1, Outcome: OK, Duration: 10 * ms, ResultAge: 400 * ms})
+	var shared []string
+	for _, action := range got {
+		if strings.HasPrefix(action, "Share") {
+			shared = append(shared, action)
+		}
+	}
+	r.want(shared, "Share 2", "Share 4")
+	r.want(starts(got), "Start 3")
+	r.want(r.after(100*ms, done(3)), "Share 5")
+	// The same holds for a read that comes in one batch with the end.
+	last := read(6, 3)
+	r.handle(read(7, 0))
+	r.want(starts(r.after(300*ms, read(8, 7), last, Finished{ID: 7, Outcome: OK, Duration: 10 * ms, ResultAge: 300 * ms})), "Start 8", "Start 6")
+}
+
 func TestQueuedRequestsStayWithinMemory(t *testing.T) {
 	r := newHarness(t, func(s *Settings) { s.MemoryKB = 1000 })
 	fillCores(r)
--- a/policy/random_test.go
+++ b/policy/random_test.go
@@ -328,7 +328,7 @@
 		return CallerGone{id}
 	case t.atCall && (t.answers > 0 || t.callerGone) && !t.callInFlight:
 		t.running, t.ended, t.endedAt = false, true, s.checker.now
-		return Finished{id, Cancelled, took}
+		return Finished{ID: id, Outcome: Cancelled, Duration: took}
 	case t.callInFlight && roll < 20:
 		t.callInFlight = false
 		t.lastOutcome = Outcome(s.rng.IntN(6))
@@ -344,7 +344,7 @@
 			t.answers++
 		}
 		t.running, t.ended, t.endedAt = false, true, s.checker.now
-		return Finished{id, outcome, took}
+		return Finished{ID: id, Outcome: outcome, Duration: took}
 	}
 	return nil
 }
--- a/policy/repeats.go
+++ b/policy/repeats.go
@@ -53,8 +53,10 @@
 		n.coalesce(r, prior)
 		return true
 	case prior.state == ended && prior.succeeded && n.now-prior.endedAt <= n.set.SharedResultTTL:
-		n.shareResult(r)
-		return true
+		if n.mayShare(prior, r) {
+			n.shareResult(r)
+			return true
+		}
 	}
 	return false
 }
@@ -119,27 +121,47 @@
 	n.prune(r)
 }
 
+// completeWaiters ends the wait of the requests that are coalesced with one that has ended. Those that cannot
+// share its result run, after the others have got it: the key table then has the entry of a new run.
 func (n *Instance) completeWaiters(r *request) {
 	waiters := r.waiters
 	r.waiters = nil
-	var primary *request
+	var unserved []*request
 	for _, waiter := range waiters {
 		if waiter.state != coalesced {
 			continue
 		}
 		waiter.primary = nil
-		switch {
-		case r.succeeded:
+		if r.succeeded && n.mayShare(r, waiter) {
 			n.shareResult(waiter)
-		case waiter.repeatsRun:
-			n.reject(waiter)
+		} else {
+			unserved = append(unserved, waiter)
+		}
+	}
+	n.runOneFor(unserved)
+}
+
+// mayShare says whether a repeat may share the result of a run. The result of a read must not have been too
+// old when the repeat reached the machine.
+func (n *Instance) mayShare(run, repeat *request) bool {
+	return run.class.Safety != Safe || repeat.reachedAt <= run.resultMadeAt+n.set.SharedResultTTL
+}
+
+// runOneFor enqueues one of several equal requests, with which the others are coalesced. Repeats of a request
+// that ran fail.
+func (n *Instance) runOneFor(requests []*request) {
+	var primary *request
+	for _, r := range requests {
+		switch {
+		case r.repeatsRun:
+			n.reject(r)
 		case primary == nil:
-			n.enqueue(waiter)
-			if waiter.state == queued {
-				primary = waiter
+			n.enqueue(r)
+			if r.state == queued {
+				primary = r
 			}
 		default:
-			n.coalesce(waiter, primary)
+			n.coalesce(r, primary)
 		}
 	}
 }
--- a/policy/state.go
+++ b/policy/state.go
@@ -37,6 +37,7 @@
 	succeeded    bool          // its run succeeded
 	likelyRetry  bool          // a retry, either marked or inferred from its short wait
 	endedAt      time.Duration
+	resultMadeAt time.Duration // of a run that succeeded: the earliest time at which its result may have been made
 	original     *request      // the request that it repeats; nil: unknown
 	successor    *request      // the newer attempt that replaced it
 	primary      *request      // the request that it is coalesced with
