Count results of uwsgi servers as made when their requests were sent

Cause: the runner stated the time up to the receipt of the response as running time, and the core counted the result as made at its end. A uwsgi server does not state when it made a result, and the response may be held up on its way.

Change: a notice may state when its result was made. The uwsgi runner states the time at which it sent the request, the earliest one possible. Results of the executor, which states how long each run took, are shared as before.

--- a/internal/core/handler.go
+++ b/internal/core/handler.go
@@ -301,7 +301,10 @@
 			}
 			if m.Ended {
 				pool.Put(pendingCall.Body)
-				m.MadeAt = min(c.clock.Now(), startedAt+m.TookMS) // a late notice must not make the result look newer
+				if m.MadeAt == 0 {
+					m.MadeAt = startedAt + m.TookMS // a late notice must not make the result look newer
+				}
+				m.MadeAt = min(m.MadeAt, c.clock.Now())
 				h.end(m)
 				return
 			}
--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -102,7 +102,7 @@
 	Number         uint64         // number of the notice
 	Outcome        policy.Outcome // how it ended
 	TookMS         float64        // running time in milliseconds
-	MadeAt         float64        // when the result was made, in Unix milliseconds; never later than the true time
+	MadeAt         float64        // when the result was made, in Unix milliseconds; never later than the true time; 0: TookMS after the start
 	UnknownRequest bool           // nothing ran: the executor does not know the request
 	ReplyLost      bool           // the reply to its call may not have arrived, so the attempt may wait for the call forever
 	Body           []byte         // the result, or the body of the call; owned by the handler that receives the notice
--- a/internal/net/peers_test.go
+++ b/internal/net/peers_test.go
@@ -41,7 +41,7 @@
 	BusyGauge: 0, RunnableGauge: 1, MemoryGauge: 2, ConnectionGauge: 3, ColdSpeedShare: 1,
 }
 
-func must(t *testing.T, err error) {
+func must(t testing.TB, err error) {
 	t.Helper()
 	if err != nil {
 		t.Fatal(err)
@@ -409,7 +409,7 @@
 }
 
 // startUWSGIServer starts a fake uwsgi server that answers each request with do, and returns its address.
-func startUWSGIServer(t *testing.T, do func(conn net.Conn, vars map[string]string, body string)) string {
+func startUWSGIServer(t testing.TB, do func(conn net.Conn, vars map[string]string, body string)) string {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	must(t, err)
 	t.Cleanup(func() { ln.Close() })
--- a/internal/net/uwsgi/runner.go
+++ b/internal/net/uwsgi/runner.go
@@ -45,51 +45,66 @@
 func (r *Runner) Start(a *core.Attempt) {
 	go func() {
 		startedMS := r.clock.Now()
-		outcome, result, err := r.run(a)
+		end, err := r.run(a)
 		if err != nil {
 			r.log.Warn().Err(err).Str("id", a.Request.ID).Msg("attempt failed")
 		}
-		a.Notify(core.Notice{Ended: true, Outcome: outcome, TookMS: r.clock.Now() - startedMS, Body: result})
+		end.Ended, end.TookMS = true, r.clock.Now()-startedMS
+		a.Notify(end)
 	}()
 }
 
-// run makes one attempt. It moves on to the next server only if the connection to the previous one failed: once bytes
-// may have been sent, the request may have had its effect.
-func (r *Runner) run(a *core.Attempt) (policy.Outcome, []byte, error) {
+// run makes one attempt and returns the notice of its end. The server does not state when it made the result, and the response may
+// have been on its way for any part of the time, so the result counts as made when the request was sent.
+func (r *Runner) run(a *core.Attempt) (core.Notice, error) {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	timer := r.clock.After(a.Due-r.clock.Now(), cancel)
 	defer timer.Stop()
 
+	head, err := r.requestHead(a)
+	if err != nil {
+		return core.Notice{Outcome: policy.NotRun}, err
+	}
+	conn, err := r.connect(ctx)
+	if err != nil {
+		return core.Notice{Outcome: policy.NotRun}, err
+	}
+	defer conn.Close()
+	stop := context.AfterFunc(ctx, func() { conn.Close() })
+	defer stop()
+	sentMS := r.clock.Now()
+	if _, err := (&net.Buffers{head, a.Request.Body}).WriteTo(conn); err != nil {
+		return core.Notice{Outcome: policy.Failed}, err
+	}
+	outcome, body, err := r.readResponse(conn)
+	return core.Notice{Outcome: outcome, MadeAt: sentMS, Body: body}, err
+}
+
+// requestHead returns the packet of an attempt's request without its body.
+func (r *Runner) requestHead(a *core.Attempt) ([]byte, error) {
 	q := a.Request
-	head, err := AppendPacket(nil, map[string]string{
+	return AppendPacket(nil, map[string]string{
 		"REQUEST_METHOD": "POST", "PATH_INFO": "/" + q.Class, "REQUEST_URI": "/" + q.Class, "QUERY_STRING": "",
 		"SERVER_PROTOCOL": "HTTP/1.1", "CONTENT_LENGTH": strconv.Itoa(len(q.Body)),
 		varClass: q.Class, varID: q.ID, varKey: q.Key,
 		varWait: strconv.FormatInt(int64(math.Max(a.Due-r.clock.Now(), 1)), 10),
 	})
-	if err != nil {
-		return policy.NotRun, nil, err
-	}
-	var conn net.Conn
+}
+
+// connect connects to the next server. It moves on to another one only if a connection fails: once bytes may have been sent, the
+// request may have had its effect.
+func (r *Runner) connect(ctx context.Context) (net.Conn, error) {
 	first, servers := r.nextServer.Add(1), *r.servers.Load()
-	err = errors.New("no uwsgi servers are configured")
+	err := errors.New("no uwsgi servers are configured")
 	for i := range servers {
 		address := servers[(int(first)+i)%len(servers)]
+		var conn net.Conn
 		if conn, err = r.dialer.DialContext(ctx, "tcp", address); err == nil {
-			break
+			return conn, nil
 		}
 	}
-	if err != nil {
-		return policy.NotRun, nil, err
-	}
-	defer conn.Close()
-	stop := context.AfterFunc(ctx, func() { conn.Close() })
-	defer stop()
-	if _, err := (&net.Buffers{head, q.Body}).WriteTo(conn); err != nil {
-		return policy.Failed, nil, err
-	}
-	return r.readResponse(conn)
+	return nil, err
 }
 
 // readResponse reads the HTTP response of a server and returns a copy of its body in a buffer from the pool.
