Fail responses of uwsgi servers that state no length

Callers would see: a part of a result, served as the whole one, if a uwsgi server breaks off within a response without Content-Length and without the chunked encoding.

Cause: such a response ends with its connection, and the runner took the end of the connection for the end of the result.

Evidence: TestIncompleteResultIsNotServed before: status 200 for a response without a length, wants 502. Responses that were cut short within a stated length or within chunks failed before.

Change: the body is read by a new package httpbody, which the vault's client uses as well and whose check of replies it takes over. It returns an error for a body whose end is not certain, and the attempt fails.

--- a/internal/net/uwsgi/runner.go
+++ b/internal/net/uwsgi/runner.go
@@ -5,7 +5,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"math"
 	"net"
 	"net/http"
@@ -17,7 +16,7 @@
 	"puffinsaddle/internal/clock"
 	"puffinsaddle/internal/config"
 	"puffinsaddle/internal/core"
-	"puffinsaddle/internal/pool"
+	"puffinsaddle/internal/httpbody"
 	"puffinsaddle/policy"
 )
 
@@ -107,24 +106,23 @@
 	return nil, err
 }
 
-// readResponse reads the HTTP response of a server and returns a copy of its body in a buffer from the pool.
+// readResponse reads the HTTP response of a server and returns its body in a buffer from the pool.
 func (r *Runner) readResponse(conn net.Conn) (policy.Outcome, []byte, error) {
 	resp, err := http.ReadResponse(bufio.NewReaderSize(conn, 4096), nil)
 	if err != nil {
 		return policy.Failed, nil, err
 	}
-	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
 		return policy.Failed, nil, fmt.Errorf("uwsgi server answered with status %s", resp.Status)
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, int64(r.maxResultBytes)+1))
-	if err == nil && len(body) > r.maxResultBytes {
+	body, err := httpbody.Read(resp, r.maxResultBytes)
+	if errors.Is(err, httpbody.ErrTooLong) {
 		err = errors.New("result is larger than uwsgi.max_result")
 	}
 	if err != nil {
 		return policy.Failed, nil, err // truncated: not the result that the server produced
 	}
-	return policy.OK, pool.Copy(body), nil
+	return policy.OK, body, nil
 }
 
 // Return does nothing: uwsgi servers make no downstream calls through the order server.
--- a/internal/net/uwsgi_results_test.go
+++ b/internal/net/uwsgi_results_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net"
+	"net/http"
 	"testing"
 
 	"github.com/rs/zerolog"
@@ -52,3 +53,31 @@
 		t.Errorf("results %q: those of the reads 1 and 2 have to be of the first, those of 3 and 4 not", results)
 	}
 }
+
+// A uwsgi server breaks off within a response, or states no length, so that a break looks like its end. Such a result is not served.
+// Guards against a result that is cut short and served as whole.
+func TestIncompleteResultIsNotServed(t *testing.T) {
+	const length, chunked = "Content-Length: 4\r\n", "Transfer-Encoding: chunked\r\n"
+	for _, c := range []struct {
+		name, headers, body string
+		want                int
+	}{
+		{"with its length", length, "full", http.StatusOK},
+		{"in chunks", chunked, "4\r\nfull\r\n0\r\n\r\n", http.StatusOK},
+		{"empty", "Content-Length: 0\r\n", "", http.StatusOK},
+		{"less than its length", length, "ful", http.StatusBadGateway},
+		{"without the last chunk", chunked, "4\r\nfull\r\n", http.StatusBadGateway},
+		{"without a length", "", "full", http.StatusBadGateway},
+		{"without a length, and empty", "", "", http.StatusBadGateway},
+	} {
+		address := startUWSGIServer(t, func(conn net.Conn, _ map[string]string, _ string) {
+			fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s\r\n%s", c.headers, c.body)
+		})
+		set := config.UWSGI{Servers: []string{address}, MaxResultBytes: 4096}
+		h := newServer(t, uwsgi.NewRunner(set, clock.System(), zerolog.Nop()), nil, config.UWSGI{}, nil)
+		h.core.RunnerStarted(false)
+		if status, _, _ := h.gateway(packet("b", "ORDER_CLASS", "book-delivery"), false).readResponse(); status != c.want {
+			t.Errorf("%s: status %d, want %d", c.name, status, c.want)
+		}
+	}
+}
--- a/internal/net/vault/vault.go
+++ b/internal/net/vault/vault.go
@@ -18,6 +18,7 @@
 	"sync"
 
 	"puffinsaddle/internal/clock"
+	"puffinsaddle/internal/httpbody"
 	"puffinsaddle/internal/pool"
 	"puffinsaddle/policy"
 )
@@ -90,9 +91,8 @@
 	if err != nil {
 		return policy.InvalidReply, nil
 	}
-	reply, err := readBody(resp) // not closed, since closing a body of 3 GB would read it to its end
+	reply, err := httpbody.Read(resp, maxReplyBytes)
 	if err != nil {
-		pool.Put(reply)
 		return policy.InvalidReply, nil
 	}
 	var outcome policy.Outcome
@@ -125,24 +125,3 @@
 	}
 	return nil, errors.New("too many 1xx responses")
 }
-
-// readBody reads a body of declared length or in chunked encoding. A body that ends with its connection may be
-// truncated, and a truncated reply must not reach an attempt.
-func readBody(resp *http.Response) ([]byte, error) {
-	n := resp.ContentLength
-	switch {
-	case n > maxReplyBytes:
-		return nil, errors.New("reply too long")
-	case n >= 0:
-		b := pool.Get(int(n))
-		_, err := io.ReadFull(resp.Body, b)
-		return b, err
-	case len(resp.TransferEncoding) == 0:
-		return nil, errors.New("reply has neither a length nor chunked encoding")
-	}
-	b, err := io.ReadAll(io.LimitReader(resp.Body, maxReplyBytes+1))
-	if err == nil && len(b) > maxReplyBytes {
-		err = errors.New("reply too long")
-	}
-	return b, err
-}
