Do not refuse retries at a limit if their request may have run

By a test, a router's 33rd open request on a connection and a request over 4,096 open ones were refused in the same way.

Cause: these limits are checked before the core looks for other attempts of a request. The full uwsgi front did not even read it.

Change: Core.Refuse answers a request over a limit. One with an idempotency key is looked up behind all earlier events: it gets the result of the other attempt, or fails if that one runs, waits, or may have run in another process. The uwsgi front reads requests over its maximum of connections, within the same time limit and up to as many again.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -151,7 +151,7 @@
 		if duplicate {
 			h.answer(Outcome{Verdict: Failed})
 		} else {
-			h.answer(Outcome{Verdict: Refused, RetryAfterMS: refusalRetryAfterMS})
+			c.Refuse(q, refusalRetryAfterMS, h.answer)
 		}
 		return h
 	}
@@ -164,6 +164,36 @@
 	return h
 }
 
+// Refuse answers a request that is not accepted, since there are too many others, and advises a wait in milliseconds before a
+// retry. A refusal says that nothing ran, so a request with an idempotency key is refused only if no other attempt of it can
+// have run; its answer function is called later, on another goroutine.
+func (c *Core) Refuse(q *Request, retryAfterMS float64, answer func(Outcome)) {
+	refusal := Outcome{Verdict: Refused, RetryAfterMS: retryAfterMS}
+	if q.IdempotencyKey == "" {
+		answer(refusal)
+		return
+	}
+	c.AfterPendingEvents(func() {
+		outcome := c.outcomeOfOtherAttempt(q, refusal)
+		go answer(outcome) // it may wait for a slow caller
+	})
+}
+
+// outcomeOfOtherAttempt returns the result of another attempt of a request, or a failure if one may have run or may still run, or
+// else the given refusal.
+func (c *Core) outcomeOfOtherAttempt(q *Request, refusal Outcome) Outcome {
+	e := c.keys.findKeyed(q)
+	if e == nil && !c.otherProcessMayHaveRun(q, c.clock.Now()) {
+		return refusal
+	}
+	if e != nil {
+		if result, ok := e.resultFor(c.keys.hashBody(q)); ok {
+			return Outcome{Verdict: Served, Result: result}
+		}
+	}
+	return Outcome{Verdict: Failed}
+}
+
 // nextID returns an ID that no open request has; 0 is reserved for none. The caller holds the lock.
 func (c *Core) nextID() policy.ID {
 	for c.lastID++; c.lastID == 0 || c.handlers[c.lastID] != nil; c.lastID++ {
--- /dev/null
+++ b/internal/net/limits_test.go
@@ -0,0 +1,58 @@
+package net_test
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"testing"
+
+	"puffinsaddle/internal/clock"
+)
+
+// The uwsgi front has as many connections as it may have. A first attempt of a keyed request is refused; a retry of one that runs
+// fails, and gets its result once it has ended. Guards against a refusal of a request that has run.
+func TestFullUWSGIFrontDoesNotRefuseWhatRan(t *testing.T) {
+	p := newKeyedProcess(t, clock.Manual(startMS))
+	router := p.router()
+	p.run(router, 1, 1, "aa")
+	for range 64 { // MaxConnections of the test server
+		conn, err := net.Dial("tcp", p.uwsgi.Addr().String())
+		must(t, err)
+		t.Cleanup(func() { conn.Close() })
+	}
+	send := func(idempotencyKey string) (status int, header http.Header, body string) {
+		return p.gateway(packet("a", "ORDER_CLASS", "pay", "ORDER_ONCE", idempotencyKey, "ORDER_AT", fmt.Sprintf("%.0f", startMS)), false).readResponse()
+	}
+	if status, header, _ := send("bb"); status != http.StatusServiceUnavailable || header.Get("Retry-After") == "" {
+		t.Errorf("first attempt: %d with Retry-After %q, want 503", status, header.Get("Retry-After"))
+	}
+	if status, _, _ := send("aa"); status != http.StatusBadGateway {
+		t.Errorf("retry of a request that runs: %d, want 502", status)
+	}
+	p.succeed(1, "A")
+	router.want("1", "done", "", "A")
+	if status, _, body := send("aa"); status != http.StatusOK || body != "A" {
+		t.Errorf("retry of a request that has run: %d %q, want 200 with its result", status, body)
+	}
+}
+
+// A router's connection has as many open requests as it may have: the same holds for further attempts on it.
+func TestFullRouterConnectionDoesNotRefuseWhatRan(t *testing.T) {
+	p := newKeyedProcess(t, clock.Manual(startMS))
+	router := p.router()
+	p.run(router, 1, 1, "aa")
+	for n := 2; n <= 32; n++ {
+		router.sendRequest(n, n, "book-delivery", fmt.Sprintf(",at=%.0f", startMS), "b")
+		p.x.want("EXEC", id(n))
+	}
+	router.sendPayment(33, 33, startMS, "aa", "a")
+	router.want("33", "error")
+	router.sendPayment(34, 34, startMS, "bb", "a")
+	router.want("34", "later")
+	p.succeed(1, "A")
+	router.want("1", "done", "", "A")
+	router.sendRequest(35, 35, "book-delivery", fmt.Sprintf(",at=%.0f", startMS), "b")
+	p.x.want("EXEC", id(35))
+	router.sendPayment(36, 36, startMS, "aa", "a")
+	router.want("36", "done", "", "A")
+}
--- a/internal/net/respfront/command.go
+++ b/internal/net/respfront/command.go
@@ -14,6 +14,7 @@
 	maxOpenRequests       = 32   // on a connection, by the protocol
 	maxInvalidRequests    = 8    // on a connection; the next one ends it
 	invalidRequestDelayMS = 50.0 // reading stops for this long after each invalid request
+	fullRetryAfterMS      = 1.0  // milliseconds until a retry of a request over maxOpenRequests
 )
 
 // handleCommand handles one command; an error ends the connection.
@@ -81,18 +82,19 @@
 	c.mu.Lock()
 	_, inUse := c.openRequests[tag]
 	full := len(c.openRequests) >= maxOpenRequests
-	if !inUse && !full {
+	if !inUse {
 		c.openRequests[tag] = nil // the answer may come before Open returns
 	}
 	c.mu.Unlock()
 	if inUse {
 		return fmt.Errorf("tag %d is already in use", tag)
 	}
+	answer := func(o core.Outcome) { c.sendAnswer(tag, o) }
 	if full {
-		c.sendAnswer(tag, core.Outcome{Verdict: core.Refused, RetryAfterMS: 1})
+		c.front.core.Refuse(q, fullRetryAfterMS, answer)
 		return nil
 	}
-	handler := c.front.core.Open(q, func(o core.Outcome) { c.sendAnswer(tag, o) })
+	handler := c.front.core.Open(q, answer)
 	c.mu.Lock()
 	if _, pending := c.openRequests[tag]; pending {
 		c.openRequests[tag] = handler
--- a/internal/net/respfront/reader.go
+++ b/internal/net/respfront/reader.go
@@ -38,10 +38,7 @@
 		// a partial command and after too many invalid requests: the requests read before must still be answered, and the
 		// connection is closed after that.
 		c.broken = true
-		for tag, handler := range c.openRequests {
-			abandoned = append(abandoned, handler)
-			delete(c.openRequests, tag)
-		}
+		abandoned = c.takeHandlers()
 	}
 	c.mu.Unlock()
 	for _, handler := range abandoned {
--- a/internal/net/respfront/writer.go
+++ b/internal/net/respfront/writer.go
@@ -113,12 +113,20 @@
 func (c *conn) abandonRequests() {
 	c.mu.Lock()
 	c.broken = true
-	abandoned := c.openRequests
-	c.openRequests = map[uint64]*core.Handler{}
+	abandoned := c.takeHandlers()
 	c.mu.Unlock()
 	for _, handler := range abandoned {
+		handler.CallerGone()
+	}
+}
+
+// takeHandlers removes all open requests and returns their handlers, as far as these are known. The caller holds the lock.
+func (c *conn) takeHandlers() (handlers []*core.Handler) {
+	for _, handler := range c.openRequests {
 		if handler != nil {
-			handler.CallerGone()
+			handlers = append(handlers, handler)
 		}
 	}
+	c.openRequests = map[uint64]*core.Handler{}
+	return handlers
 }
--- a/internal/net/uwsgi/front.go
+++ b/internal/net/uwsgi/front.go
@@ -29,6 +29,8 @@
 	maxLingerBytes = 1 << 20                // of input that is discarded meanwhile
 	writeTimeout   = 2 * time.Second        // for a caller that does not read its answer
 	defaultRank    = 0.5                    // the middle of the ranks, for requests without one
+
+	fullRetryAfterMS = 1000.0 // milliseconds until a retry of a request over the maximum number of connections
 )
 
 // Front accepts requests from gateways, one on each connection.
@@ -67,7 +69,7 @@
 		f.mu.Lock()
 		open := len(f.conns)
 		full := open >= f.settings.MaxConnections
-		if open >= 2*f.settings.MaxConnections { // refused connections also hold a descriptor while their answer is written
+		if open >= 2*f.settings.MaxConnections { // those over the maximum also hold a descriptor and a request until they are answered
 			f.mu.Unlock()
 			conn.Close()
 			return
@@ -81,13 +83,7 @@
 				f.mu.Unlock()
 				conn.Close()
 			}()
-			if full {
-				writeResponse(conn, http.StatusServiceUnavailable, 1, nil)
-				f.setAnswered(conn)
-				linger(conn)
-				return
-			}
-			f.serveConn(conn)
+			f.serveConn(conn, full)
 		}()
 	})
 }
@@ -152,8 +148,9 @@
 	}
 }
 
-// serveConn reads one request and writes exactly one answer, even if the request is malformed.
-func (f *Front) serveConn(conn net.Conn) {
+// serveConn reads one request and writes exactly one answer, even if the request is malformed. If the front is full, the request
+// is not accepted, but has to be read: a retry of a request that has run must not be refused.
+func (f *Front) serveConn(conn net.Conn, full bool) {
 	arrivedMS := f.clock.Now()
 	f.mu.Lock()
 	deadline := time.Now()
@@ -190,12 +187,19 @@
 	conn.SetReadDeadline(time.Time{})
 	f.mu.Unlock()
 	answerWritten := make(chan struct{})
-	handler := f.core.Open(q, func(o core.Outcome) {
+	answer := func(o core.Outcome) {
 		status, retryAfterS := httpStatus(o)
 		writeResponse(conn, status, retryAfterS, o.Result)
 		f.setAnswered(conn)
 		close(answerWritten)
-	})
+	}
+	if full {
+		f.core.Refuse(q, fullRetryAfterMS, answer)
+		<-answerWritten
+		linger(conn)
+		return
+	}
+	handler := f.core.Open(q, answer)
 	// The request is abandoned when the caller closes the connection; anything else that the caller sends is discarded.
 	disconnected := make(chan struct{})
 	go func() {
