Wait in tests until a process knows a result before the other one ends

Beside ten busy processes TestSuccessorEndsBesidePredecessor failed in 1 of 40 runs: a retry of a payment that had succeeded in the other process got an error. Cause: the test ends the connection of the two processes right after the answer, and the message of the end may not have been sent. Then the result is lost with the process, and a failure is the right answer. TestPredecessorEndsWithRunningAttempt assumes the same.

Change: before the connection ends, a further attempt gets the result in the process that stays. What is checked after the end is the same.

--- a/internal/net/replacement_test.go
+++ b/internal/net/replacement_test.go
@@ -81,6 +81,14 @@
 	p.x.sendNotice("EXIT", id(n)+" success 1", result)
 }
 
+// shareResult sends a further attempt of a payment that has succeeded, here or in the other process. Once it has its answer, this
+// process knows the result.
+func (p *keyedProcess) shareResult(router *fakeRouter, tag, n int, idempotencyKey, result string) {
+	p.t.Helper()
+	router.sendPayment(tag, n, p.clk.Now(), idempotencyKey, "a")
+	router.want(fmt.Sprint(tag), "done", "", result)
+}
+
 // sendWaiting sends a payment that has to wait for the attempt of another process.
 func (p *keyedProcess) sendWaiting(router *fakeRouter, tag, n int, idempotencyKey string) {
 	p.t.Helper()
@@ -163,6 +171,7 @@
 	next.run(q, 1, 1, "aa")
 	next.succeed(1, "A")
 	q.want("1", "done", "", "A")
+	old.shareResult(p, 5, 9, "aa", "A")
 	next.run(q, 2, 2, "bb")
 	old.sendWaiting(p, 1, 3, "bb")
 	must(t, endLink())
@@ -185,6 +194,7 @@
 	old.run(p, 1, 1, "aa")
 	old.succeed(1, "A")
 	p.want("1", "done", "", "A")
+	next.shareResult(q, 5, 9, "aa", "A")
 	old.run(p, 2, 2, "bb")
 	next.sendWaiting(q, 1, 3, "bb")
 	must(t, endLink())
