Send arrivals to the module in the order in which requests are read

Callers may see a request taken up before an earlier one of the same connection, for example a retry before the attempt that it follows.

Cause: the goroutine of each request sent its own arrival, so the order of two requests of one connection depended on the scheduler. Core.Refuse looks for other attempts behind all earlier events, and these could still be missing.

Change: Open sends the arrival itself, before the goroutine starts.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -160,6 +160,7 @@
 	h.id, h.countedUnanswered, h.countedActive = c.nextID(), true, true
 	c.handlers[h.id], c.byRequestID[q.ID] = h, h
 	c.mu.Unlock()
+	c.send(h, policy.Arrived{ID: h.id}) // here and not by the handler, so that arrivals keep the order of their reading
 	go h.serve()
 	return h
 }
--- a/internal/core/handler.go
+++ b/internal/core/handler.go
@@ -106,11 +106,10 @@
 	h.answer(Outcome{Verdict: Failed})
 }
 
-// serve handles one request from its arrival to the end of its attempt. It sends events to the module with Core.send and
-// receives the module's actions through its inbox.
+// serve handles one request, whose arrival the module learns of, to the end of its attempt. It sends events to the module with
+// Core.send and receives the module's actions through its inbox.
 func (h *Handler) serve() {
 	defer h.core.remove(h)
-	h.core.send(h, policy.Arrived{ID: h.id})
 	if h.awaitStart() && h.awaitPermission() && h.recordEffect() {
 		h.run()
 	}
