Wait in the tests of limits until the core knows the result

The answer of a run precedes the report of its end. A retry sent at once after the answer may therefore find the attempt running, and fail.

Change: a further attempt shares the result before the limit is tried with a request that has run. The checks are the same.

--- a/internal/net/limits_test.go
+++ b/internal/net/limits_test.go
@@ -31,6 +31,7 @@
 	}
 	p.succeed(1, "A")
 	router.want("1", "done", "", "A")
+	p.shareResult(router, 2, 2, "aa", "A") // the core knows the result now
 	if status, _, body := send("aa"); status != http.StatusOK || body != "A" {
 		t.Errorf("retry of a request that has run: %d %q, want 200 with its result", status, body)
 	}
@@ -51,6 +52,7 @@
 	router.want("34", "later")
 	p.succeed(1, "A")
 	router.want("1", "done", "", "A")
+	p.shareResult(p.router(), 1, 40, "aa", "A") // the core knows the result now
 	router.sendRequest(35, 35, "book-delivery", fmt.Sprintf(",at=%.0f", startMS), "b")
 	p.x.want("EXEC", id(35))
 	router.sendPayment(36, 36, startMS, "aa", "a")
