Mark a connection with a forged request before its answer can be read

Callers would see that a forged request that follows another one at once reaches the executor.

Cause: the answer to the first forged request was queued before the connection was marked, and the router may send the next one in between.

Change: the connection is marked while the answer is queued, under its lock.

--- a/internal/net/respfront/writer.go
+++ b/internal/net/respfront/writer.go
@@ -10,14 +10,17 @@
 // sendAnswer sends the only answer to a request.
 func (c *conn) sendAnswer(tag uint64, o core.Outcome) {
 	hint, hasHint := c.front.core.Hint()
+	firstForged := false
 	c.enqueue(func(b []byte) []byte {
 		delete(c.openRequests, tag)
 		c.lastUsedMS = c.front.clock.Now()
 		c.servedRequest = c.servedRequest || o.Verdict == core.Served
 		o.UnknownRequest = o.UnknownRequest && !c.servedRequest
+		// Before the answer is written: the router may send its next request as soon as it has it.
+		firstForged = o.UnknownRequest && !c.forgedSeen.Swap(true)
 		return appendAnswer(b, tag, hint, hasHint, o)
 	})
-	if o.UnknownRequest && !c.forgedSeen.Swap(true) {
+	if firstForged {
 		c.failUnlessStarted()
 	}
 }
