--- a/review/standin2/play.go
+++ b/review/standin2/play.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -113,6 +114,13 @@
 	go func() {
 		err := cmd.Wait()
 		p.record("%s: ended: %v", name, err)
+		if cmd.ProcessState.ExitCode() > 0 { // it ended by itself with an error, which its log states last
+			text, _ := os.ReadFile(logPath)
+			lines := strings.Split(strings.TrimSpace(string(text)), "\n")
+			for _, line := range lines[max(0, len(lines)-3):] {
+				p.record("%s logged: %s", name, line)
+			}
+		}
 		close(c.exited)
 	}()
 	return c, nil
