Divide the limits of a server between the processes of a replacement

What callers saw: after a replacement under load the vault had more calls in its hands than it survives and refused connections.

Cause: each process's module counted its own downstream calls, executor memory and running requests. The new one began with empty accounts while the calls of the old one were within the period and the old one went on with its own.

Change: policy/peers.go divides each limit into shares that add up to 1; a process grants what it neither uses nor needs, by the demand of both, and has given it up before the message is sent. A process that ends leaves its use to the other one. Reports go over the handover's connection (format version 4); beside a predecessor of an earlier build, which reports nothing, the new process uses 0.9 of what that one leaves. A single process decides as before.

--- /dev/null
+++ b/cmd/puffinsaddle/replacement_limits_test.go
@@ -0,0 +1,354 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// The vault of these tests survives vaultSurvives calls in the mean of vaultPeriod. The order server is the only one, so that
+// this is its share.
+const (
+	vaultSurvives = 6.66
+	vaultPeriod   = 5 * time.Second
+	vaultLinger   = 200 * time.Millisecond // for which a call that was given up stays in its hands
+	vaultSample   = 5 * time.Millisecond   // between two counts of the calls in hand
+
+	loadBefore = 5 * time.Second // of load before the disruption
+	loadAfter  = 8 * time.Second // of load after it
+
+	minServedShare = 0.9 // of the calls that are served without a disruption
+	playsOfLoad    = 3   // with each load, since few calls are served in one
+)
+
+const replacedConfig = `{"name":"n1","listen":%q,"operator":%q,"executor":%q,"vault":%q,"members":%q,"stop_ms":3200,
+"limits":{"cores":1,"memory_mb":96,"sockets":1024},
+"settings":{"classes":[{"name":"book","aim":1700000000,"deadline":5000000000,"worth":4.0,"idempotency":"unsafe"}],
+"extra":{"nCores":6,"heapKb":10998.0,"runMemFactor":4.0,"downstream":"shared","callsOut":%g,"callsOver":%d,"linger":%d,
+"callsByClass":[true],"classSkipWorth":[0]},"limits":{},"rules":{"fallMultiple":8.0},"tick":4000000}}`
+
+// countingVault takes a fixed time for each call and keeps the highest mean of the calls in its hands.
+type countingVault struct {
+	ln      net.Listener
+	latency time.Duration
+	ended   chan struct{}
+
+	mu     sync.Mutex
+	inHand int
+	served int
+	peak   float64
+}
+
+func newCountingVault(t *testing.T, latency time.Duration) *countingVault {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	v := &countingVault{ln: ln, latency: latency, ended: make(chan struct{})}
+	t.Cleanup(func() { close(v.ended); ln.Close() })
+	go func() {
+		for {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go v.serve(conn)
+		}
+	}()
+	go v.sample()
+	return v
+}
+
+// sample computes the mean of the calls in hand until the test ends.
+func (v *countingVault) sample() {
+	samples, sum := make([]int, vaultPeriod/vaultSample), 0
+	began := time.Now()
+	for i := 0; ; i++ {
+		select {
+		case <-v.ended:
+			return
+		case <-time.After(time.Until(began.Add(time.Duration(i+1) * vaultSample))):
+		}
+		v.mu.Lock()
+		sum += v.inHand - samples[i%len(samples)]
+		samples[i%len(samples)] = v.inHand
+		v.peak = max(v.peak, float64(sum)/float64(len(samples)))
+		v.mu.Unlock()
+	}
+}
+
+// serve serves the only call of a connection.
+func (v *countingVault) serve(conn net.Conn) {
+	defer conn.Close()
+	r := bufio.NewReader(conn)
+	request, err := http.ReadRequest(r)
+	if err != nil {
+		return
+	}
+	io.Copy(io.Discard, request.Body)
+	v.add(1)
+	conn.SetReadDeadline(time.Now().Add(v.latency))
+	if _, err := r.Peek(1); err == io.EOF || !os.IsTimeout(err) {
+		time.Sleep(vaultLinger)
+		v.add(-1)
+		return
+	}
+	v.add(-1)
+	v.mu.Lock()
+	v.served++
+	v.mu.Unlock()
+	io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+}
+
+func (v *countingVault) add(calls int) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.inHand += calls
+}
+
+func (v *countingVault) result() (peak float64, served int) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.peak, v.served
+}
+
+// startCallingExecutor starts a fake executor whose attempts make one call each.
+func startCallingExecutor(t *testing.T) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	go func() {
+		for {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go serveCallingExecutor(conn)
+		}
+	}()
+	return ln.Addr().String()
+}
+
+// serveCallingExecutor is the fake executor's side of a link.
+func serveCallingExecutor(conn net.Conn) {
+	defer conn.Close()
+	r, n := bufio.NewReader(conn), 0
+	for {
+		line, err := r.ReadString('\n')
+		if err != nil {
+			return
+		}
+		words := strings.Fields(line)
+		var size int
+		switch words[0] {
+		case "JOIN":
+			io.WriteString(conn, "WELCOME steady 100000\r\n")
+		case "METER":
+			fmt.Fprintf(conn, "METERS %s 0.1 0 0.1 1\r\n", words[1])
+		case "EXEC":
+			fmt.Sscan(words[3], &size)
+			r.Discard(size + 2)
+			n++
+			fmt.Fprintf(conn, "CALLOUT %d %s 1\r\nc\r\n", n, words[1])
+		case "RETURN":
+			fmt.Sscan(words[2], &size)
+			r.Discard(size + 2)
+			n++
+			fmt.Fprintf(conn, "EXIT %d %s success 1 2\r\nok\r\n", n, words[1])
+		}
+	}
+}
+
+// replacedServer is an order server whose processes replace each other under load.
+type replacedServer struct {
+	t         *testing.T
+	vault     *countingVault
+	listen    string
+	private   string
+	members   string
+	callsOut  float64
+	processes []*serverProcess
+}
+
+func newReplacedServer(t *testing.T, latency time.Duration) *replacedServer {
+	return &replacedServer{t: t, vault: newCountingVault(t, latency), listen: freePort(t), private: t.TempDir(),
+		members: fakeMembers(t).LocalAddr().String(), callsOut: vaultSurvives}
+}
+
+// start starts a further process and waits until it is ready.
+func (s *replacedServer) start() *serverProcess {
+	s.t.Helper()
+	p := newServerProcess(s.t)
+	p.listen, p.env = s.listen, []string{"TMPDIR=" + s.private}
+	s.writeConfig(p, startCallingExecutor(s.t))
+	p.start(1024)
+	p.waitUntil("it is ready", p.ready)
+	s.processes = append(s.processes, p)
+	return p
+}
+
+// writeConfig writes the configuration file of a process.
+func (s *replacedServer) writeConfig(p *serverProcess, executor string) {
+	s.t.Helper()
+	file := fmt.Sprintf(replacedConfig, p.listen, p.operator, executor, s.vault.ln.Addr(), s.members, s.callsOut,
+		vaultPeriod.Nanoseconds(), vaultLinger.Nanoseconds())
+	if err := os.WriteFile(p.path, []byte(file), 0o600); err != nil {
+		s.t.Fatal(err)
+	}
+}
+
+// signal sends a signal to a process.
+func (s *replacedServer) signal(p *serverProcess, sig syscall.Signal) {
+	s.t.Helper()
+	if err := p.cmd.Process.Signal(sig); err != nil {
+		s.t.Fatal(err)
+	}
+}
+
+// load sends bookings at a fixed rate, each on a connection of its own, until the returned function is called.
+func (s *replacedServer) load(gap time.Duration) (stop func()) {
+	stopped, done := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(done)
+		var all sync.WaitGroup
+		defer all.Wait()
+		ticker := time.NewTicker(gap)
+		defer ticker.Stop()
+		for id := 1; ; id++ {
+			select {
+			case <-stopped:
+				return
+			case <-ticker.C:
+				all.Go(func() { isServed(s.listen, id) })
+			}
+		}
+	}()
+	return func() {
+		close(stopped)
+		<-done
+	}
+}
+
+// play sends load and lets disrupt change the processes. It returns the highest mean of the calls in the vault's hands, and the
+// calls that it served.
+func (s *replacedServer) play(gap time.Duration, disrupt func(*replacedServer, *serverProcess)) (peak float64, served int) {
+	s.t.Helper()
+	first := s.start()
+	stop := s.load(gap)
+	time.Sleep(loadBefore)
+	if disrupt != nil {
+		disrupt(s, first)
+	}
+	time.Sleep(loadAfter)
+	peak, served = s.vault.result()
+	stop()
+	return peak, served
+}
+
+// replace replaces a process as the platform does.
+func replace(s *replacedServer, old *serverProcess) {
+	s.start()
+	s.signal(old, syscall.SIGTERM)
+}
+
+// While a process is replaced under load, both processes together stay within the calls that the vault survives, and nine in ten
+// of the calls that are served without a replacement are served. Guards against each process using the whole share by itself.
+func TestReplacementKeepsCallsOfServer(t *testing.T) {
+	loads := []struct{ latency, gap time.Duration }{
+		{150 * time.Millisecond, 25 * time.Millisecond},
+		{400 * time.Millisecond, 25 * time.Millisecond},
+		{900 * time.Millisecond, 25 * time.Millisecond},
+		{400 * time.Millisecond, 12 * time.Millisecond},
+	}
+	undisturbed, replaced := make([]atomic.Int64, len(loads)), make([]atomic.Int64, len(loads))
+	t.Run("plays", func(t *testing.T) {
+		for i, load := range loads {
+			for range playsOfLoad {
+				t.Run(fmt.Sprintf("%s every %s", load.latency, load.gap), func(t *testing.T) {
+					t.Parallel()
+					_, served := newReplacedServer(t, load.latency).play(load.gap, nil)
+					undisturbed[i].Add(int64(served))
+				})
+				t.Run(fmt.Sprintf("%s every %s, replaced", load.latency, load.gap), func(t *testing.T) {
+					t.Parallel()
+					peak, served := newReplacedServer(t, load.latency).play(load.gap, replace)
+					replaced[i].Add(int64(served))
+					checkPeak(t, peak)
+				})
+			}
+		}
+	})
+	for i, load := range loads {
+		served, without := replaced[i].Load(), undisturbed[i].Load()
+		t.Logf("calls of %s every %s: served %d, without a replacement %d", load.latency, load.gap, served, without)
+		if float64(served) < minServedShare*float64(without) {
+			t.Errorf("calls of %s every %s: served %d, without a replacement %d", load.latency, load.gap, served, without)
+		}
+	}
+}
+
+// checkPeak fails if the vault had more calls in its hands than it survives.
+func checkPeak(t *testing.T, peak float64) {
+	t.Helper()
+	t.Logf("highest mean %.2f", peak)
+	if peak > vaultSurvives {
+		t.Errorf("the vault had %.2f calls in the mean of %s, it survives %.2f", peak, vaultPeriod, vaultSurvives)
+	}
+}
+
+// The same limit when processes are killed, stopped or replaced twice in the overlap, and when new settings lower it.
+func TestDisturbedReplacementKeepsCallsOfServer(t *testing.T) {
+	for name, disrupt := range map[string]func(*replacedServer, *serverProcess){
+		"old process killed": func(s *replacedServer, old *serverProcess) {
+			replace(s, old)
+			time.Sleep(200 * time.Millisecond)
+			s.signal(old, syscall.SIGKILL)
+		},
+		"new process killed": func(s *replacedServer, old *serverProcess) {
+			successor := s.start()
+			time.Sleep(800 * time.Millisecond)
+			s.signal(successor, syscall.SIGKILL)
+		},
+		"old process stopped for a while": func(s *replacedServer, old *serverProcess) {
+			replace(s, old)
+			s.signal(old, syscall.SIGSTOP)
+			time.Sleep(time.Second)
+			s.signal(old, syscall.SIGCONT)
+		},
+		"new process stopped for a while": func(s *replacedServer, old *serverProcess) {
+			successor := s.start()
+			s.signal(old, syscall.SIGTERM)
+			time.Sleep(300 * time.Millisecond)
+			s.signal(successor, syscall.SIGSTOP)
+			time.Sleep(time.Second)
+			s.signal(successor, syscall.SIGCONT)
+		},
+		"replaced twice": func(s *replacedServer, old *serverProcess) {
+			second := s.start()
+			s.signal(old, syscall.SIGTERM)
+			time.Sleep(300 * time.Millisecond)
+			s.start()
+			s.signal(second, syscall.SIGTERM)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			peak, served := newReplacedServer(t, 400*time.Millisecond).play(25*time.Millisecond, disrupt)
+			t.Logf("%d calls served", served)
+			checkPeak(t, peak)
+		})
+	}
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -68,6 +68,9 @@
 	events          []policy.Event
 	keys            keyTable
 	replacement     replacement
+	limitPeers      []*limitPeer
+
+	lastPeer atomic.Uint32 // the last policy.PeerID given
 }
 
 // event is an inbox entry, either an event for the module or a request to the goroutine that owns the module.
--- a/internal/core/module.go
+++ b/internal/core/module.go
@@ -237,6 +237,8 @@
 		c.clock.After(c.moduleStartedAt+clock.Millis(a.At)-now, func() { c.wake(a.Token) })
 	case policy.LogLine:
 		c.log.Info().Msg(a.Text)
+	case policy.ReportToPeer:
+		c.sendLimits(a)
 	}
 }
 
--- a/internal/core/peer.go
+++ b/internal/core/peer.go
@@ -2,7 +2,7 @@
 
 import "puffinsaddle/policy"
 
-// The messages that the two processes of one server exchange about keyed attempts, while one replaces the other.
+// The messages that the two processes of one server exchange while one replaces the other.
 
 // PeerLink sends messages to the other process of the server while one process replaces the other.
 type PeerLink interface {
@@ -11,12 +11,15 @@
 	Send(m PeerMessage, sent func())
 }
 
-// PeerMessage is a message about a keyed attempt. Exactly one field is set. It is encoded under its field names.
+// PeerMessage is a message about a keyed attempt or the limits of the server. Exactly one field is set. It is encoded under its
+// field names.
 type PeerMessage struct {
 	Claim    *KeyedAttempt  `json:",omitempty"` // to the successor: the attempt starts if the successor permits it
 	Response *ClaimResponse `json:",omitempty"` // to the predecessor: the response to a claim
 	Started  *KeyedAttempt  `json:",omitempty"` // to the predecessor: the attempt starts
 	Ended    *AttemptResult `json:",omitempty"` // to either: the attempt has ended
+
+	Limits *policy.PeerReport `json:",omitempty"` // to either: what the sender uses of the limits, and what it grants
 }
 
 // KeyedAttempt describes an attempt of a keyed request that a process has started, for the other process of the server. It
--- a/internal/core/replacement.go
+++ b/internal/core/replacement.go
@@ -115,6 +115,8 @@
 			c.tellPeers(from, PeerMessage{Started: m.Started})
 		case m.Ended != nil:
 			c.recordPeerEnd(from, m.Ended)
+		case m.Limits != nil:
+			c.receiveLimits(from, m.Limits)
 		}
 	})
 }
--- a/internal/net/handover/handover.go
+++ b/internal/net/handover/handover.go
@@ -5,7 +5,8 @@
 //
 // The successor sends its format version as one byte when it is about to serve. Up to version 1, the predecessor answers with
 // the same byte. From version 2 on it answers with the byte stateMarker, the length of its state in eight bytes (big-endian)
-// and the state. From version 3 on that byte is linkMarker, and the connection then carries the messages of a Link.
+// and the state. From version 3 on that byte is linkMarker, and the connection then carries the messages of a Link. From
+// version 4 on it is limitsMarker, and the messages include reports on the limits of the server.
 package handover
 
 import (
@@ -32,12 +33,17 @@
 	stateTimeout  = 5 * time.Second // the state may be megabytes
 	maxStateBytes = 1 << 30         // bytes of the state
 	stateVersion  = 2               // first format version of successors that receive the state
-	linkVersion   = 3               // first format version of successors that exchange messages; the version that this build sends
+	linkVersion   = 3               // first format version of successors that exchange messages
+	limitsVersion = 4               // first format version of successors that report on limits; the version that this build sends
 	stateMarker   = 3               // first byte of an answer that contains the state
 	linkMarker    = 4               // the same, if messages follow the state
+	limitsMarker  = 5               // the same, if the messages include reports on limits
 )
 
-// Predecessor is what a process does for its successors. A link is nil if the successor's build exchanges no messages.
+// versionByMarker is the format version that the first byte of a predecessor's answer shows.
+var versionByMarker = map[byte]byte{stateMarker: stateVersion, linkMarker: linkVersion, limitsMarker: limitsVersion}
+
+// Predecessor is what a process does for its successors.
 type Predecessor interface {
 	State(successor *Link) []byte                     // returns the state that a successor needs, which is about to serve
 	Receive(successor *Link, content json.RawMessage) // handles a message
@@ -95,13 +101,16 @@
 	}
 	o.successors.Add(1)
 	defer o.successors.Add(-1)
+	link := newLink(conn, min(version[0], limitsVersion))
 	switch {
-	case version[0] >= linkVersion:
-		o.serveLink(conn)
+	case link.reportsLimits():
+		o.serveLink(link, limitsMarker)
+	case link.exchangesMessages():
+		o.serveLink(link, linkMarker)
 	case version[0] >= stateVersion:
-		o.serveEarlierBuild(conn, func(state []byte) []byte { return appendState(stateMarker, state) })
+		o.serveEarlierBuild(link, func(state []byte) []byte { return appendState(stateMarker, state) })
 	default:
-		o.serveEarlierBuild(conn, func([]byte) []byte { return version[:] })
+		o.serveEarlierBuild(link, func([]byte) []byte { return version[:] })
 	}
 }
 
@@ -126,12 +135,11 @@
 }
 
 // serveLink sends the state to a successor and exchanges messages with it until it has ended.
-func (o *Offer) serveLink(conn net.Conn) {
-	link := newLink(conn)
+func (o *Offer) serveLink(link *Link, marker byte) {
 	defer o.predecessor.SuccessorEnded(link)
 	state := o.predecessor.State(link)
 	o.log.Info().Int("bytes", len(state)).Msg("a successor serves")
-	if err := send(conn, appendState(linkMarker, state)); err != nil {
+	if err := send(link.conn, appendState(marker, state)); err != nil {
 		link.end()
 		return
 	}
@@ -139,12 +147,12 @@
 }
 
 // serveEarlierBuild sends an answer with the state to a successor that exchanges no messages, and waits until it has ended.
-func (o *Offer) serveEarlierBuild(conn net.Conn, answer func(state []byte) []byte) {
-	defer o.predecessor.SuccessorEnded(nil)
-	state := o.predecessor.State(nil)
+func (o *Offer) serveEarlierBuild(link *Link, answer func(state []byte) []byte) {
+	defer o.predecessor.SuccessorEnded(link)
+	state := o.predecessor.State(link)
 	o.log.Info().Int("bytes", len(state)).Msg("a successor of an earlier build serves")
-	send(conn, answer(state))
-	io.Copy(io.Discard, conn)
+	send(link.conn, answer(state))
+	io.Copy(io.Discard, link.conn)
 }
 
 // appendState returns the answer that contains the state.
@@ -175,16 +183,20 @@
 
 // AnnounceServing notifies the predecessor that this process is about to serve, and waits for its answer with a timeout, so
 // that the predecessor knows of its successor before it receives a notice to exit. It returns the predecessor's state, and a
-// link to exchange messages with it, which is nil if its build exchanges none. If complete is false, the predecessor did not
+// link to it, over which it exchanges messages unless its build is too old. If complete is false, the predecessor did not
 // send its state because it has ended, hangs or is an earlier build, and may still start requests that it does not report.
 func AnnounceServing(predecessor net.Conn) (state []byte, link *Link, complete bool) {
 	predecessor.SetDeadline(time.Now().Add(handshakeTimeout))
 	defer predecessor.SetDeadline(time.Time{})
-	if _, err := predecessor.Write([]byte{linkVersion}); err != nil {
+	if _, err := predecessor.Write([]byte{limitsVersion}); err != nil {
 		return nil, nil, false
 	}
 	var header [9]byte
-	if _, err := io.ReadFull(predecessor, header[:1]); err != nil || header[0] != stateMarker && header[0] != linkMarker {
+	if _, err := io.ReadFull(predecessor, header[:1]); err != nil {
+		return nil, nil, false
+	}
+	version, known := versionByMarker[header[0]]
+	if !known {
 		return nil, nil, false
 	}
 	predecessor.SetDeadline(time.Now().Add(stateTimeout))
@@ -199,10 +211,7 @@
 	if _, err := io.ReadFull(predecessor, state); err != nil {
 		return nil, nil, false
 	}
-	if header[0] == linkMarker {
-		link = newLink(predecessor)
-	}
-	return state, link, true
+	return state, newLink(predecessor, version), true
 }
 
 // WaitForExit waits until the predecessor has ended.
--- a/internal/net/handover/link.go
+++ b/internal/net/handover/link.go
@@ -5,14 +5,17 @@
 	"net"
 
 	"puffinsaddle/internal/mailbox"
+	"puffinsaddle/policy"
 )
 
 // Link carries messages between a process and its successor, in order and in both directions, until one of them ends. Nothing
 // limits the time that a message takes: a process that is stopped for a while must not be taken for one that has ended.
 type Link struct {
-	conn   net.Conn
-	outbox *mailbox.Box[outgoingMessage]
-	ended  chan struct{}
+	conn    net.Conn
+	version byte // format version of the other process, as far as it matters to this one
+	outbox  *mailbox.Box[outgoingMessage]
+	ended   chan struct{}
+	peer    policy.PeerID // of the other process in the core
 }
 
 type outgoingMessage struct {
@@ -20,10 +23,16 @@
 	sent    func() // optional
 }
 
-func newLink(conn net.Conn) *Link {
-	return &Link{conn: conn, outbox: mailbox.New[outgoingMessage](), ended: make(chan struct{})}
+func newLink(conn net.Conn, version byte) *Link {
+	return &Link{conn: conn, version: version, outbox: mailbox.New[outgoingMessage](), ended: make(chan struct{})}
 }
 
+// exchangesMessages reports whether the other process sends and receives messages.
+func (l *Link) exchangesMessages() bool { return l.version >= linkVersion }
+
+// reportsLimits reports whether these messages include reports on the limits of the server.
+func (l *Link) reportsLimits() bool { return l.version >= limitsVersion }
+
 // Send queues a message, which is encoded as JSON, behind all earlier ones. It does not block. If sent is not nil, it is called
 // once the message is in the socket's buffer, from which the other process reads it even if this one is killed, or once the
 // other process has ended.
--- a/policy/calls.go
+++ b/policy/calls.go
@@ -40,6 +40,7 @@
 	r.callInFlight, r.callDeadline = true, n.now-n.startedAt+min(left, maxWait)
 	n.callsInFlight++
 	n.callDeadlines += r.callDeadline
+	n.peers.reportDue = true
 	n.emit(MakeCall{ID: r.ID, MaxWait: min(left, maxWait)})
 }
 
@@ -50,30 +51,63 @@
 // other servers leave their shares unused. Optional calls leave the time that required calls are likely to
 // need. Otherwise they fill the period while downstream is slow, and requests with required calls fail.
 func (n *Instance) callTimeLeft(c *classState) time.Duration {
-	period := float64(n.set.CallPeriod)
-	if n.set.DownstreamShare <= 0 || period <= 0 {
+	period, share := float64(n.set.CallPeriod), n.peers.share[CallLimit]
+	limit := n.wholeCallLimit() * share
+	switch {
+	case n.wholeCallLimit() == 0:
 		return math.MaxInt64
+	case limit <= 0:
+		return 0
 	}
 	n.updateCallTime()
-	limit := usedCallShare * n.set.DownstreamShare * period
 	if c.SkipWorth > 0 {
 		requiredRate := n.recent.requiredCalls * (1 - trafficDecay) / float64(windowLength) // per nanosecond
 		limit -= min(requiredMargin*requiredRate*period*n.meanCallTime, maxRequiredShare*limit)
 	}
-	pending := float64(n.callDeadlines) - float64(n.callsInFlight)*float64(n.now-n.startedAt)
-	wait := limit - n.callTime - max(pending, 0) - float64(n.callsInFlight+1)*float64(n.set.AbandonedCallTime)
+	abandoned := float64(n.callsInFlight+1) * float64(n.set.AbandonedCallTime)
+	wait := limit - n.callTime - n.pendingCallTime() - abandoned
 	if n.callsInFlight == 0 {
 		wait = max(wait, limit/2-n.callTime) // else a share below AbandonedCallTime would allow no call
 	}
-	if wait < min(minCallTimes*n.meanCallTime, limit/4) {
+	if wait < n.shortestCallTime(limit, share) {
 		return 0
 	}
 	return time.Duration(wait)
 }
 
+// shortestCallTime is the least time limit of a call. While two processes have shares of the limit, neither
+// keeps as much of it free as it would alone.
+func (n *Instance) shortestCallTime(limit, share float64) float64 {
+	if share < 1 {
+		return min(minSharedCallTimes*n.meanCallTime, limit/share/4)
+	}
+	return min(minCallTimes*n.meanCallTime, limit/4)
+}
+
+// wholeCallLimit is the call time that all processes of the server may use within the period; 0: no limit.
+func (n *Instance) wholeCallLimit() float64 {
+	if n.set.DownstreamShare <= 0 || n.set.CallPeriod <= 0 {
+		return 0
+	}
+	return usedCallShare * n.downstreamShare() * float64(n.set.CallPeriod)
+}
+
+// pendingCallTime is the call time still to come if all calls in flight take their full time limit.
+func (n *Instance) pendingCallTime() float64 {
+	return max(float64(n.callDeadlines)-float64(n.callsInFlight)*float64(n.now-n.startedAt), 0)
+}
+
+// committedCallTime is the most call time within the period that the calls made so far can lead to.
+func (n *Instance) committedCallTime() float64 {
+	return n.callTime + n.pendingCallTime() + float64(n.callsInFlight)*float64(n.set.AbandonedCallTime)
+}
+
+// callInterval is the length of a bucket of call time.
+func (n *Instance) callInterval() time.Duration { return max(n.set.CallPeriod/(callBuckets-1), 1) }
+
 // updateCallTime updates callTime, the sum over the buckets; the oldest is cleared when the next one begins.
 func (n *Instance) updateCallTime() {
-	bucket := max(n.set.CallPeriod/(callBuckets-1), 1)
+	bucket := n.callInterval()
 	if n.now-n.callTimeAt > n.set.CallPeriod+bucket {
 		n.callTimeAt = n.now - n.set.CallPeriod - bucket // older time is outside the period
 	}
@@ -98,12 +132,12 @@
 	}
 	n.updateCallTime()
 	if abandoned {
-		bucket := max(n.set.CallPeriod/(callBuckets-1), 1)
-		n.callTimeBuckets[n.now/bucket%callBuckets] += float64(n.set.AbandonedCallTime)
+		n.callTimeBuckets[n.now/n.callInterval()%callBuckets] += float64(n.set.AbandonedCallTime)
 	}
 	r.callInFlight = false
 	n.callDeadlines -= r.callDeadline
 	n.callsInFlight--
+	n.peers.reportDue = true
 }
 
 // callsAllowed says whether a run of the class could make its calls now. A run that can't would only take
@@ -138,6 +172,7 @@
 	if e.Outcome == OK || e.Outcome == TimedOut {
 		n.meanCallTime += learnRate * (float64(e.Duration) - n.meanCallTime)
 		n.timedCalls++
+		n.timedCallsEver++
 	}
 	if e.Outcome == OK {
 		n.resumeRun(r)
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -12,50 +12,51 @@
 
 // Parameters of the mechanism. Each is a share, a count or a time that applies to any site.
 const (
-	gaugeInterval     = 20 * time.Millisecond // polling of the gauges, which average over 500 ms
-	windowLength      = time.Second / 2       // monitoring window
-	dropTolerance     = 0.2                   // delta of the paper: noise of a ratio in one window
-	allowanceStep     = 1                     // incr of the paper
-	maxAllowance      = 32                    // bounds a round, so that recovery takes few windows
-	pauseBusyShare    = 0.95                  // further starts pause from this share of busy cores
-	resumeBusyShare   = 0.80                  // and resume below this share
-	minRunsPerCore    = 1.0                   // runs per core below which starts never pause
-	concurrencyShare  = 0.7                   // used part of the concurrency that a server survives
-	memoryShare       = 0.92                  // used part of the memory
-	firstRunDivisor   = 6                     // first estimate of a run: the tightest aim over this
-	maxOutlier        = 5                     // a run counts for this many times the mean at most
-	learnRate         = 0.1                   // weight of a new sample of a run
-	estimateDecay     = 0.8                   // reduces an estimate that refused everything, to test it
-	hopelessMargin    = 1.0                   // hopeless: less time left than this many estimated runs
-	doubtfulMargin    = 2.5                   // doubtful: less than this many; refused if others wait
-	stopMargin        = time.Second / 10      // all requests are answered this long before the stop
-	maxCallAttempts   = 8                     // attempts of a call that provably did not run
-	callBackoff       = 30 * time.Millisecond // first wait between such attempts; doubles
-	retryAfterShare   = 0.25                  // longest wait advised, as a part of MaxRetryAfter
-	minRetryAfter     = 20 * time.Millisecond // shortest wait advised: a few runs have ended by then
-	maxUnreadShare    = 0.8                   // part of the tightest aim that requests may wait unread
-	optionalWaitShare = 0.5                   // an optional call may take this part of the time left
-	breakerFailures   = 5                     // consecutive failed calls that open the breaker
-	shedThreshold     = 0.05                  // refused share above which callers shed load
-	shedGain          = 0.5                   // part of the refused share that is shed in addition
-	shedRecovery      = 0.05                  // decrease of the shed share per window without refusals
-	queuedPerCore     = 1.5                   // queued requests per core
-	creditPerCore     = 6.0                   // requests per core granted to callers while they shed
-	maxShedShare      = 0.65                  // some traffic must arrive, or nothing would be learned
-	firstWaitShare    = 0.95                  // a wait below this part of the longest is that of a retry
-	highRetryShare    = 0.2                   // share of retries that shows an overloaded fleet
-	maxRetryShare     = 0.4                   // above this, and if much is shed, retries find no capacity
-	trafficDecay      = 0.7                   // weight of earlier traffic, per window
-	highReadShare     = 0.2                   // share of reading in request time that makes refusals costly
-	maxCallerGap      = 5 * time.Second       // mean gap of a caller that justifies an open connection
-	minIdleTimeout    = time.Second           // shortest idle timeout; busier callers stay connected
-	breakerOpenTime   = time.Second           // how long the breaker is open before one call probes it
-	usedCallShare     = 0.8                   // used part of the share of downstream calls
-	optionalCallTimes = 8                     // an optional call may take this many mean call times
-	callBuckets       = 21                    // buckets of call time; one more than the period needs
-	requiredMargin    = 2                     // required calls reserve this many times their mean need,
-	maxRequiredShare  = 0.5                   // as counts are small, and at most this part of the time
-	minCallTimes      = 4                     // a call needs time for this many mean call times
+	gaugeInterval      = 20 * time.Millisecond // polling of the gauges, which average over 500 ms
+	windowLength       = time.Second / 2       // monitoring window
+	dropTolerance      = 0.2                   // delta of the paper: noise of a ratio in one window
+	allowanceStep      = 1                     // incr of the paper
+	maxAllowance       = 32                    // bounds a round, so that recovery takes few windows
+	pauseBusyShare     = 0.95                  // further starts pause from this share of busy cores
+	resumeBusyShare    = 0.80                  // and resume below this share
+	minRunsPerCore     = 1.0                   // runs per core below which starts never pause
+	concurrencyShare   = 0.7                   // used part of the concurrency that a server survives
+	memoryShare        = 0.92                  // used part of the memory
+	firstRunDivisor    = 6                     // first estimate of a run: the tightest aim over this
+	maxOutlier         = 5                     // a run counts for this many times the mean at most
+	learnRate          = 0.1                   // weight of a new sample of a run
+	estimateDecay      = 0.8                   // reduces an estimate that refused everything, to test it
+	hopelessMargin     = 1.0                   // hopeless: less time left than this many estimated runs
+	doubtfulMargin     = 2.5                   // doubtful: less than this many; refused if others wait
+	stopMargin         = time.Second / 10      // all requests are answered this long before the stop
+	maxCallAttempts    = 8                     // attempts of a call that provably did not run
+	callBackoff        = 30 * time.Millisecond // first wait between such attempts; doubles
+	retryAfterShare    = 0.25                  // longest wait advised, as a part of MaxRetryAfter
+	minRetryAfter      = 20 * time.Millisecond // shortest wait advised: a few runs have ended by then
+	maxUnreadShare     = 0.8                   // part of the tightest aim that requests may wait unread
+	optionalWaitShare  = 0.5                   // an optional call may take this part of the time left
+	breakerFailures    = 5                     // consecutive failed calls that open the breaker
+	shedThreshold      = 0.05                  // refused share above which callers shed load
+	shedGain           = 0.5                   // part of the refused share that is shed in addition
+	shedRecovery       = 0.05                  // decrease of the shed share per window without refusals
+	queuedPerCore      = 1.5                   // queued requests per core
+	creditPerCore      = 6.0                   // requests per core granted to callers while they shed
+	maxShedShare       = 0.65                  // some traffic must arrive, or nothing would be learned
+	firstWaitShare     = 0.95                  // a wait below this part of the longest is that of a retry
+	highRetryShare     = 0.2                   // share of retries that shows an overloaded fleet
+	maxRetryShare      = 0.4                   // above this, and if much is shed, retries find no capacity
+	trafficDecay       = 0.7                   // weight of earlier traffic, per window
+	highReadShare      = 0.2                   // share of reading in request time that makes refusals costly
+	maxCallerGap       = 5 * time.Second       // mean gap of a caller that justifies an open connection
+	minIdleTimeout     = time.Second           // shortest idle timeout; busier callers stay connected
+	breakerOpenTime    = time.Second           // how long the breaker is open before one call probes it
+	usedCallShare      = 0.8                   // used part of the share of downstream calls
+	optionalCallTimes  = 8                     // an optional call may take this many mean call times
+	callBuckets        = 21                    // buckets of call time; one more than the period needs
+	requiredMargin     = 2                     // required calls reserve this many times their mean need,
+	maxRequiredShare   = 0.5                   // as counts are small, and at most this part of the time
+	minCallTimes       = 4                     // a call needs time for this many mean call times
+	minSharedCallTimes = 2                     // the same where another process has a share of the limit
 )
 
 // New validates the settings and returns an instance. The same seed and events give the same actions.
@@ -64,7 +65,8 @@
 		return nil, err
 	}
 	n := &Instance{rng: rand.New(rand.NewPCG(seed, 0)), requests: map[ID]*request{}, runnable: -1,
-		meanCallTime: float64(callBackoff), timeline: orderedHeap[scheduledCheck]{less: checkedBefore}}
+		meanCallTime: float64(callBackoff), peers: newPeerState(),
+		timeline: orderedHeap[scheduledCheck]{less: checkedBefore}}
 	n.unreadLimit = maxUnreadShare * (1 + n.rng.Float64()) / 2
 	n.applySettings(set)
 	return n, nil
@@ -147,6 +149,7 @@
 	}
 	n.startQueued()
 	n.limitQueues()
+	n.reportToPeers()
 	n.setTimer()
 	return n.actions
 }
@@ -180,6 +183,12 @@
 		n.stopAt = n.now + e.TimeLeft - max(stopMargin, 3*n.set.Tick)
 	case TimerFired:
 		n.readGauges(e)
+	case PeerJoined:
+		n.peerJoined(e)
+	case PeerReported:
+		n.peerReported(e)
+	case PeerLeft:
+		n.peerLeft(e)
 	}
 }
 
@@ -220,6 +229,7 @@
 		r.likelyRetry = true
 	}
 	n.memory += e.KB
+	n.peers.reportDue = true
 	n.requests[e.ID] = r
 	n.arrivals = append(n.arrivals, r)
 }
@@ -241,7 +251,7 @@
 
 func (n *Instance) setTimer() {
 	at := n.windowEnd
-	if n.queued > 0 {
+	if n.queued > 0 || n.peers.reporting() {
 		at = min(at, n.now+gaugeInterval)
 	}
 	if n.timeline.len() > 0 {
--- a/policy/queue.go
+++ b/policy/queue.go
@@ -62,11 +62,23 @@
 	return n.readShare > highReadShare && n.retryShare > highRetryShare/2 && n.warmFraction() == 1
 }
 
-// maxConcurrency is the concurrency limit: a part of what the machine survives, less while it is cold.
+// maxConcurrency is the concurrency limit of this process.
 func (n *Instance) maxConcurrency() int {
+	_, inheritedRunning := n.inheritedUse()
+	return max(int(n.wholeRunLimit()*n.peers.share[RunLimit])-inheritedRunning, 1)
+}
+
+// wholeRunLimit is the concurrency limit of all processes of the server: a part of what the machine survives,
+// less while it is cold.
+func (n *Instance) wholeRunLimit() float64 {
 	share := n.set.ColdSpeedShare + (1-n.set.ColdSpeedShare)*n.warmFraction()
-	limit := float64(n.set.Cores) * (1 + (n.set.MaxRunningPerCore-1)*share) * concurrencyShare
-	return max(int(limit), 1)
+	return float64(n.set.Cores) * (1 + (n.set.MaxRunningPerCore-1)*share) * concurrencyShare
+}
+
+// usableMemory is the memory that this process may use for requests and key table entries.
+func (n *Instance) usableMemory() float64 {
+	inheritedMemory, _ := n.inheritedUse()
+	return max(n.set.MemoryKB*memoryShare*n.peers.share[MemoryLimit]-inheritedMemory, 0)
 }
 
 // mayStartRun says whether one more run may start: below the concurrency limit, and either below the minimum
@@ -133,7 +145,7 @@
 		}
 		r := c.queue.first()
 		extraKB := r.KB * (n.set.RunMemoryFactor - 1)
-		if n.memory+extraKB > n.set.MemoryKB*memoryShare {
+		if n.memory+extraKB > n.usableMemory() {
 			return
 		}
 		c.queue.pop()
@@ -144,6 +156,7 @@
 		n.queued--
 		n.runnableDelta++
 		n.windowStarts++
+		n.peers.reportDue = true
 		n.emit(Start{ID: r.ID})
 		n.scheduleCheck(r)
 	}
@@ -151,12 +164,13 @@
 
 // memoryLimit bounds queued requests and key table entries; the rest is for one run on each idle core.
 func (n *Instance) memoryLimit() float64 {
-	limit := n.set.MemoryKB * memoryShare
+	usable := n.usableMemory()
+	limit := usable
 	free := float64(n.set.Cores) - float64(n.running)
 	if free > 0 && len(n.requests) > 0 {
 		limit -= free * n.memory / float64(len(n.requests)) * (n.set.RunMemoryFactor - 1)
 	}
-	return max(limit, n.set.MemoryKB*memoryShare/2)
+	return max(limit, usable/2)
 }
 
 // refuseLeaves refuses requests of one class from the leaves of its queue until the rest fits.
--- a/policy/state.go
+++ b/policy/state.go
@@ -140,4 +140,7 @@
 	requiredEnd  time.Duration // until when optional calls are skipped in favour of required ones
 	skippedCalls int           // calls skipped in this window instead of being made
 	timedCalls   int           // calls in this window whose duration was learned
+
+	timedCallsEver int // calls whose duration was learned since the start
+	peers          peerState
 }
