Begin the pause after an invalid request before its answer is sent

What was seen: a run of five packages at once hung in internal/net/respfront until go test's limit of 10 min, with the reader in the pause of rejectInvalid. The name of the test was lost with the rest of the output; two tests can hang there.

Cause: the tests move a manual clock once they have the answer. The timer of the pause was set after the answer was sent, so the move could come first, and the timer then waited for a time that no test sets.

Change: the timer is set first. The tests are unchanged.

--- a/internal/net/respfront/command.go
+++ b/internal/net/respfront/command.go
@@ -115,9 +115,9 @@
 	if c.invalidRequests++; c.invalidRequests > maxInvalidRequests {
 		return errTooManyInvalid
 	}
-	c.sendAnswer(tag, core.Outcome{Verdict: core.Failed})
 	delayed := make(chan struct{})
-	c.front.clock.After(invalidRequestDelayMS, func() { close(delayed) })
+	c.front.clock.After(invalidRequestDelayMS, func() { close(delayed) }) // whoever has the answer finds the pause begun
+	c.sendAnswer(tag, core.Outcome{Verdict: core.Failed})
 	<-delayed
 	return nil
 }
