Keep only the variables of a packet that have a meaning

Cause: the uwsgi front read all variables into a block of up to 64 KiB and a map, and kept both while it waited for the body.

--- a/internal/net/uwsgi/codec.go
+++ b/internal/net/uwsgi/codec.go
@@ -10,9 +10,6 @@
 	"fmt"
 	"io"
 	"sort"
-	"strconv"
-
-	"puffinsaddle/internal/pool"
 )
 
 // The variables that describe a request. The gateway sets them itself and must not copy them from headers of its callers.
@@ -40,54 +37,48 @@
 	errOversized = errors.New("packet too large")
 )
 
-// packet is one request as sent on the wire.
+// packet is one request as it was read from a gateway.
 type packet struct {
-	vars map[string]string
-	body []byte // from the pool
+	vars map[string]string // those that have a meaning
+	body []byte            // from the pool
 }
 
-// readPacket reads one packet with a body of at most maxBodyBytes. It returns io.EOF if the connection ends before the first
-// byte of the packet.
-func readPacket(r io.Reader, maxBodyBytes int) (*packet, error) {
+// readPacketHeader reads the header of a packet and returns the size of its variables.
+func readPacketHeader(r io.Reader) (size int, err error) {
 	var header [4]byte
 	if _, err := io.ReadFull(r, header[:]); err != nil {
-		return nil, err
+		return 0, err
 	}
 	if header[0] != 0 || header[3] != 0 {
-		return nil, fmt.Errorf("%w: modifiers %d and %d are not those of a request", errMalformed, header[0], header[3])
+		return 0, fmt.Errorf("%w: modifiers %d and %d are not those of a request", errMalformed, header[0], header[3])
 	}
-	block := make([]byte, binary.LittleEndian.Uint16(header[1:3]))
+	return int(binary.LittleEndian.Uint16(header[1:3])), nil
+}
+
+// ReadPacket reads one request, as a server does, and returns all its variables and its body of at most maxBodyBytes. It returns
+// io.EOF if the connection ends before the first byte of the packet.
+func ReadPacket(r io.Reader, maxBodyBytes int) (map[string]string, []byte, error) {
+	size, err := readPacketHeader(r)
+	if err != nil {
+		return nil, nil, err
+	}
+	block := make([]byte, size)
 	if _, err := io.ReadFull(r, block); err != nil {
-		return nil, unexpectedEOF(err)
+		return nil, nil, unexpectedEOF(err)
 	}
 	vars, err := parseVars(block)
 	if err != nil {
-		return nil, err
-	}
-	length := 0
-	if s := vars["CONTENT_LENGTH"]; s != "" {
-		if length, err = strconv.Atoi(s); err != nil || length < 0 {
-			return nil, fmt.Errorf("%w: CONTENT_LENGTH is not a valid length", errMalformed)
-		}
-	}
-	if length > maxBodyBytes {
-		return nil, fmt.Errorf("%w: a body of %d bytes", errOversized, length)
-	}
-	body := pool.Get(length)
-	if _, err := io.ReadFull(r, body); err != nil {
-		pool.Put(body)
-		return nil, unexpectedEOF(err)
+		return nil, nil, err
 	}
-	return &packet{vars, body}, nil
-}
-
-// ReadPacket reads one request, as a server does, and returns its variables and its body of at most maxBodyBytes.
-func ReadPacket(r io.Reader, maxBodyBytes int) (map[string]string, []byte, error) {
-	p, err := readPacket(r, maxBodyBytes)
+	length, err := bodyLength(vars, maxBodyBytes)
 	if err != nil {
 		return nil, nil, err
 	}
-	return p.vars, p.body, nil
+	body := make([]byte, length)
+	if _, err := io.ReadFull(r, body); err != nil {
+		return nil, nil, unexpectedEOF(err)
+	}
+	return vars, body, nil
 }
 
 // unexpectedEOF turns io.EOF within a packet into io.ErrUnexpectedEOF.
--- a/internal/net/uwsgi/front.go
+++ b/internal/net/uwsgi/front.go
@@ -222,9 +222,9 @@
 	q := &core.Request{ID: vars[varID], Class: vars[varClass], ArrivedAt: arrivedMS, Retry: vars[varRetry] == "1", KB: f.settings.DefaultRequestKB,
 		Rank: defaultRank, Key: vars[varKey], IdempotencyKey: vars[varIdempotencyKey], Tenant: vars[varTenant], Body: p.body}
 	if q.Class == "" {
-		uri := vars["PATH_INFO"]
+		uri := vars[varPathInfo]
 		if uri == "" {
-			uri, _, _ = strings.Cut(vars["REQUEST_URI"], "?")
+			uri, _, _ = strings.Cut(vars[varRequestURI], "?")
 		}
 		q.Class = path.Base(uri)
 	}
