Let slow gateways make way for those that send at once

Cause: uwsgi.connections counted connections whose request was not read yet, and the buffer of a body was allocated when its length was known.

Change: only requests that were read count. Beyond twice that number of connections, or a quarter of the process's memory, the connection makes way that has been open for longest without unread input. Buffers of bodies grow with what has arrived.

--- a/cmd/puffinsaddle/fronts.go
+++ b/cmd/puffinsaddle/fronts.go
@@ -75,6 +75,7 @@
 		if err != nil {
 			return nil, nil, err
 		}
+		u.MemoryBytes = int(cfg.MemoryMB * gatewayMemoryFraction * (1 << 20))
 		fronts = append(fronts, uwsgi.New(ln, u, c, clk, log))
 	}
 	for address, s := range inherited {
--- a/cmd/puffinsaddle/server.go
+++ b/cmd/puffinsaddle/server.go
@@ -34,6 +34,7 @@
 // Fractions of the process's memory limit.
 const (
 	keyTableMemoryFraction = 0.15 // for keyed attempts and their results
+	gatewayMemoryFraction  = 0.25 // for requests and answers on connections of gateways
 	memoryLimitFraction    = 0.7  // the garbage collector runs more often above this; stacks and sockets need the rest
 )
 
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -54,6 +54,8 @@
 	ReadTimeoutMS    float64  `yaml:"read_ms"`     // timeout for reading a request
 	MaxConnections   int      `yaml:"connections"` // maximum number of open connections
 	DefaultRequestKB float64  `yaml:"kb"`          // memory reserved for a request that states none
+
+	MemoryBytes int `yaml:"-"` // limit on the memory of all connections of the front, from the process's own; 0: a default
 }
 
 // LoadOperator reads an operator's file. Unknown keys are errors.
--- a/internal/net/accept/accept.go
+++ b/internal/net/accept/accept.go
@@ -49,7 +49,7 @@
 // Addr returns the address that the listener is bound to.
 func (l *Listener) Addr() net.Addr { return l.ln.Addr() }
 
-// Serve passes each connection to handle, which must not block, until the listener is stopped.
+// Serve passes each connection to handle, which must not block for long, until the listener is stopped.
 func (l *Listener) Serve(handle func(net.Conn)) {
 	l.mu.Lock()
 	l.serving = true
--- a/internal/net/uwsgi/front.go
+++ b/internal/net/uwsgi/front.go
@@ -13,6 +13,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -41,23 +42,17 @@
 	log      zerolog.Logger
 	ln       *accept.Listener
 
+	stopping     atomic.Bool // the listening socket is about to close
 	mu           sync.Mutex
-	conns        map[net.Conn]connState
+	conns        map[*gatewayConn]bool
+	open         int // of these, the ones that were not evicted
+	usedBytes    int // reserved by them
 	shuttingDown bool
 }
 
-// connState is what a connection is used for at present.
-type connState int
-
-const (
-	readingRequest connState = iota // the request is being read
-	awaitingAnswer                  // the request was read and has no answer yet
-	answered                        // the answer is written
-)
-
 // New returns a front on a listening socket; Serve has to be called next.
 func New(ln *accept.Listener, settings config.UWSGI, c *core.Core, clk *clock.Clock, log zerolog.Logger) *Front {
-	return &Front{settings: settings, core: c, clock: clk, log: log, ln: ln, conns: map[net.Conn]connState{}}
+	return &Front{settings: settings, core: c, clock: clk, log: log, ln: ln, conns: map[*gatewayConn]bool{}}
 }
 
 // Addr returns the address that the front listens on.
@@ -65,25 +60,18 @@
 
 // Serve accepts requests until the front is closed.
 func (f *Front) Serve() {
-	f.ln.Serve(func(conn net.Conn) {
-		f.mu.Lock()
-		open := len(f.conns)
-		full := open >= f.settings.MaxConnections
-		if open >= 2*f.settings.MaxConnections { // those over the maximum also hold a descriptor and a request until they are answered
-			f.mu.Unlock()
-			conn.Close()
+	f.ln.Serve(func(nc net.Conn) {
+		conn := f.admit(nc)
+		if conn == nil {
+			nc.Close()
 			return
 		}
-		f.conns[conn] = readingRequest
-		f.mu.Unlock()
 		go func() {
 			defer func() {
-				f.mu.Lock()
-				delete(f.conns, conn)
-				f.mu.Unlock()
+				f.remove(conn)
 				conn.Close()
 			}()
-			f.serveConn(conn, full)
+			f.serveConn(conn)
 		}()
 	})
 }
@@ -93,19 +81,23 @@
 
 // StopAccepting closes the listener and stops reading incomplete requests, which are answered with status 408.
 func (f *Front) StopAccepting() {
+	f.stopping.Store(true)
 	f.ln.StopAccepting()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.shuttingDown = true
-	for conn, state := range f.conns {
-		if state == readingRequest {
+	for conn := range f.conns {
+		if conn.state == readingRequest {
 			conn.SetReadDeadline(time.Now())
 		}
 	}
 }
 
 // Yield leaves new connections to the process that shares the listening socket. Open connections continue.
-func (f *Front) Yield() { f.ln.Yield() }
+func (f *Front) Yield() {
+	f.stopping.Store(true)
+	f.ln.Yield()
+}
 
 // Flushed reports whether all answers are written.
 func (f *Front) Flushed() bool {
@@ -115,28 +107,7 @@
 }
 
 // CloseSettled returns what is owed. Connections close by themselves once their answers are written.
-func (f *Front) CloseSettled() (owed core.Owed) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	for _, state := range f.conns {
-		switch state {
-		case readingRequest:
-			owed.Reads++
-		case awaitingAnswer:
-			owed.Answers++
-		}
-	}
-	return owed
-}
-
-// setAnswered records that the answer on a connection is written, unless the connection has ended.
-func (f *Front) setAnswered(conn net.Conn) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if _, open := f.conns[conn]; open {
-		f.conns[conn] = answered
-	}
-}
+func (f *Front) CloseSettled() core.Owed { return f.owed() }
 
 // Close closes the listener and all connections.
 func (f *Front) Close() {
@@ -148,44 +119,17 @@
 	}
 }
 
-// serveConn reads one request and writes exactly one answer, even if the request is malformed. If the front is full, the request
-// is not accepted, but has to be read: a retry of a request that has run must not be refused.
-func (f *Front) serveConn(conn net.Conn, full bool) {
-	arrivedMS := f.clock.Now()
-	f.mu.Lock()
-	deadline := time.Now()
-	if !f.shuttingDown {
-		deadline = deadline.Add(clock.Duration(f.settings.ReadTimeoutMS))
-	}
-	conn.SetReadDeadline(deadline)
-	f.mu.Unlock()
-	p, err := readPacket(conn, f.settings.MaxBodyBytes)
+// serveConn reads one request and writes exactly one answer, even if the request is malformed.
+func (f *Front) serveConn(conn *gatewayConn) {
+	q, err := f.readRequest(conn)
 	if err == io.EOF {
 		return // nothing was sent
 	}
-	var q *core.Request
-	if err == nil {
-		if q, err = f.parseRequest(p, arrivedMS); err != nil {
-			pool.Put(p.body)
-		}
-	}
 	if err != nil {
-		status := http.StatusBadRequest
-		var netErr net.Error
-		if errors.As(err, &netErr) && netErr.Timeout() {
-			status = http.StatusRequestTimeout
-		}
-		f.log.Debug().Err(err).Int("status", status).Msg("invalid uwsgi request")
-		writeResponse(conn, status, 0, nil)
-		f.setAnswered(conn)
-		linger(conn)
+		f.rejectInvalid(conn, err)
 		return
 	}
-
-	f.mu.Lock()
-	f.conns[conn] = awaitingAnswer
-	conn.SetReadDeadline(time.Time{})
-	f.mu.Unlock()
+	full := f.takeInHand(conn)
 	answerWritten := make(chan struct{})
 	answer := func(o core.Outcome) {
 		status, retryAfterS := httpStatus(o)
@@ -193,7 +137,7 @@
 		f.setAnswered(conn)
 		close(answerWritten)
 	}
-	if full {
+	if full { // the request is not accepted, but was read: a retry of a request that has run must not be refused
 		f.core.Refuse(q, fullRetryAfterMS, answer)
 		<-answerWritten
 		linger(conn)
@@ -215,6 +159,42 @@
 	linger(conn)
 }
 
+// readRequest reads the request of a connection. It returns io.EOF if nothing was sent.
+func (f *Front) readRequest(conn *gatewayConn) (*core.Request, error) {
+	arrivedMS := f.clock.Now()
+	f.mu.Lock()
+	deadline := time.Now()
+	if !f.shuttingDown && !conn.evicted {
+		deadline = deadline.Add(clock.Duration(f.settings.ReadTimeoutMS))
+	}
+	conn.SetReadDeadline(deadline)
+	f.mu.Unlock()
+	p, err := f.readPacket(conn)
+	if err != nil {
+		return nil, err
+	}
+	q, err := f.parseRequest(p, arrivedMS)
+	if err != nil {
+		pool.Put(p.body)
+	}
+	return q, err
+}
+
+// rejectInvalid answers a request that was not read completely, or that is malformed.
+func (f *Front) rejectInvalid(conn *gatewayConn, err error) {
+	status := http.StatusBadRequest
+	var netErr net.Error
+	if errors.As(err, &netErr) && netErr.Timeout() || errors.Is(err, errNoMemory) {
+		status = http.StatusRequestTimeout
+	}
+	f.log.Debug().Err(err).Int("status", status).Msg("invalid uwsgi request")
+	writeResponse(conn, status, 0, nil)
+	f.setAnswered(conn)
+	if !f.isEvicted(conn) {
+		linger(conn)
+	}
+}
+
 // parseRequest builds the request that the variables of a packet describe. It arrived at arrivedMS, in Unix milliseconds,
 // unless the packet names an earlier time.
 func (f *Front) parseRequest(p *packet, arrivedMS float64) (*core.Request, error) {
@@ -289,8 +269,8 @@
 
 // linger closes the writing side and discards input for a while before the connection is closed. Closing a connection with
 // unread bytes would reset it, and the caller could lose the answer.
-func linger(conn net.Conn) {
-	if t, ok := conn.(*net.TCPConn); ok {
+func linger(conn *gatewayConn) {
+	if t, ok := conn.Conn.(*net.TCPConn); ok {
 		t.CloseWrite()
 	}
 	conn.SetReadDeadline(time.Now().Add(lingerTimeout))
--- a/internal/net/uwsgi/head.go
+++ b/internal/net/uwsgi/head.go
@@ -150,22 +150,51 @@
 	return length, nil
 }
 
-// readPacket reads one packet with a body of at most maxBodyBytes. It returns io.EOF if the connection ends before the first
-// byte of the packet.
-func readPacket(r io.Reader, maxBodyBytes int) (*packet, error) {
-	buffered := bufio.NewReaderSize(r, readBufferBytes)
-	vars, err := readHead(buffered)
+// readPacket reads the packet of a connection. It returns io.EOF if the connection ends before the first byte of the packet.
+func (f *Front) readPacket(conn *gatewayConn) (*packet, error) {
+	r := bufio.NewReaderSize(conn, readBufferBytes)
+	vars, err := readHead(r)
 	if err != nil {
 		return nil, err
 	}
-	length, err := bodyLength(vars, maxBodyBytes)
+	length, err := bodyLength(vars, f.settings.MaxBodyBytes)
 	if err != nil {
 		return nil, err
 	}
-	body := pool.Get(length)
-	if _, err := io.ReadFull(buffered, body); err != nil {
-		pool.Put(body)
+	if length > f.memoryBytes()/2 {
+		return nil, fmt.Errorf("%w: a body of %d bytes does not fit into the memory", errOversized, length)
+	}
+	body, err := f.readBody(conn, r, length)
+	if err != nil {
 		return nil, unexpectedEOF(err)
 	}
 	return &packet{vars, body}, nil
 }
+
+// readBody reads a body into a buffer that grows as the bytes arrive, so that a length that is only announced takes no memory.
+func (f *Front) readBody(conn *gatewayConn, r io.Reader, length int) ([]byte, error) {
+	if err := f.reserveBody(conn, min(length, pool.Size)); err != nil {
+		return nil, err
+	}
+	body := pool.Get(min(length, pool.Size))
+	read, err := io.ReadFull(r, body)
+	for err == nil && read < length {
+		next := min(2*len(body), length)
+		if err = f.reserveBody(conn, next); err != nil {
+			break
+		}
+		grown := make([]byte, next)
+		copy(grown, body)
+		pool.Put(body)
+		f.releaseBody(conn, len(body))
+		body = grown
+		var n int
+		n, err = io.ReadFull(r, body[read:])
+		read += n
+	}
+	if err != nil {
+		pool.Put(body)
+		return nil, err
+	}
+	return body, nil
+}
