Limit open requests by the memory, and keep small bodies in little of it

Cause: each body took a buffer of 8 KiB, also one of one byte, and 4,096 requests could be open whatever the memory.

Change: bodies of up to 512 bytes get memory of their size; a quarter of the memory holds open requests at 16 KiB each; once half of that is in use, router connections share the other half.

--- a/cmd/puffinsaddle/server.go
+++ b/cmd/puffinsaddle/server.go
@@ -35,7 +35,14 @@
 const (
 	keyTableMemoryFraction = 0.15 // for keyed attempts and their results
 	gatewayMemoryFraction  = 0.25 // for requests and answers on connections of gateways
-	memoryLimitFraction    = 0.7  // the garbage collector runs more often above this; stacks and sockets need the rest
+
+	openRequestsMemoryFraction = 0.25 // for open requests
+	memoryLimitFraction        = 0.7  // the garbage collector runs more often above this; stacks and sockets need the rest
+)
+
+const (
+	openRequestBytes = 16 << 10 // of an open request: its body, its goroutine and what the module keeps of it
+	maxOpenRequests  = 4096
 )
 
 // server is one order server with the parts that it is assembled from. Parts that are not configured are nil.
@@ -145,6 +152,7 @@
 	}
 	s.vault = vault.New(s.cfg.Vault, s.clk)
 	s.core = core.New(s.clk, s.log, s.cfg.Settings, s.cfg.Seed, runner, s.vault, effectLog)
+	s.core.SetMaxOpenRequests(min(int(s.cfg.MemoryMB*openRequestsMemoryFraction*(1<<20)/openRequestBytes), maxOpenRequests))
 	s.core.SetKeyTableBytes(int(s.cfg.MemoryMB * keyTableMemoryFraction * (1 << 20)))
 	s.manager.start(ctx, s.core, s.uwsgiRunner)
 	if s.watcher, err = newRecordsWatch(s.cfg, s.manager.traceLog(), s.uwsgiRunner, s.log); err != nil {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -15,7 +15,7 @@
 )
 
 const (
-	maxOpenRequests      = 4096    // open requests; the policy module's memory limit takes effect long before this
+	defaultMaxOpen       = 4096    // default of open requests
 	refusalRetryAfterMS  = 1000.0  // retry-after of refusals made by this package, in milliseconds
 	minTimeLeft          = 1       // nanoseconds; for overdue requests, since the module reads a TimeLeft of 0 as unknown
 	defaultKeyTableBytes = 8 << 20 // default memory for keyed attempts and their results, in bytes
@@ -53,6 +53,7 @@
 	downstreamConcurrency atomic.Uint64  // bits of the mean number of downstream calls in flight
 
 	mu          sync.Mutex
+	maxOpen     int // open requests
 	handlers    map[policy.ID]*Handler
 	byRequestID map[string]*Handler
 	lastID      policy.ID
@@ -91,7 +92,7 @@
 func New(clk *clock.Clock, log zerolog.Logger, settings policy.Settings, seed uint64, runner Runner, downstream Downstream,
 	effectLog EffectLog) *Core {
 	c := &Core{clock: clk, log: log, tickMS: clock.Millis(settings.Tick), seed: seed, runner: runner, downstream: downstream,
-		effectLog: effectLog, inbox: mailbox.New[event](), stop: make(chan struct{}), stopReached: make(chan struct{}), handlers: map[policy.ID]*Handler{},
+		effectLog: effectLog, inbox: mailbox.New[event](), stop: make(chan struct{}), stopReached: make(chan struct{}), maxOpen: defaultMaxOpen, handlers: map[policy.ID]*Handler{},
 		byRequestID: map[string]*Handler{}, keys: newKeyTable(clock.Millis(settings.SharedResultTTL), defaultKeyTableBytes),
 		replacement: replacement{claims: map[string]PeerLink{}}}
 	c.counts.byClass = map[string]*classCounts{}
@@ -114,6 +115,20 @@
 // SetKeyTableBytes sets the memory limit for keyed attempts and their results, in bytes. It must be set before Run.
 func (c *Core) SetKeyTableBytes(bytes int) { c.keys.maxBytes = bytes }
 
+// SetMaxOpenRequests sets the limit on open requests. It must be set before Run.
+func (c *Core) SetMaxOpenRequests(limit int) { c.maxOpen = limit }
+
+// OpenRequestsOfCaller returns how many requests one of several callers may have open at present, at most most. Once half of the
+// limit is in use, the callers share the other half, so that none takes the place of all others.
+func (c *Core) OpenRequestsOfCaller(callers, most int) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.handlers) < c.maxOpen/2 {
+		return most
+	}
+	return min(max(c.maxOpen/2/max(callers, 1), 1), most)
+}
+
 // DownstreamConcurrency returns the recent mean number of downstream calls in flight; 0 unless a share function is set.
 func (c *Core) DownstreamConcurrency() float64 {
 	return math.Float64frombits(c.downstreamConcurrency.Load())
@@ -147,7 +162,7 @@
 	h := &Handler{core: c, request: q, inbox: mailbox.New[any](), reply: answer}
 	c.mu.Lock()
 	duplicate := c.byRequestID[q.ID] != nil
-	if duplicate || len(c.handlers) >= maxOpenRequests {
+	if duplicate || len(c.handlers) >= c.maxOpen {
 		c.mu.Unlock()
 		// A duplicate ID and a request over the limit never reach the module: the first could run twice under one ID,
 		// the second would take memory without a bound.
--- a/internal/core/limits_test.go
+++ b/internal/core/limits_test.go
@@ -17,7 +17,7 @@
 	fill := func() {
 		r.mu.Lock()
 		defer r.mu.Unlock()
-		for len(r.handlers) < maxOpenRequests {
+		for len(r.handlers) < defaultMaxOpen {
 			r.handlers[r.nextID()] = &Handler{}
 		}
 	}
@@ -34,7 +34,7 @@
 	check(14, "", refused)
 	r.succeed(running, "A", 1)
 	r.wantAnswer("1 0 A")
-	r.waitForOpen(maxOpenRequests - 1)
+	r.waitForOpen(defaultMaxOpen - 1)
 	fill()
 	check(15, "aa", "0 A")
 	r.open(16, "read", "", startMS)
--- a/internal/net/respfront/command.go
+++ b/internal/net/respfront/command.go
@@ -79,9 +79,10 @@
 		return c.rejectInvalid(tag, errTooManyInvalid)
 	}
 	q.Body = pool.Copy(q.Body) // the buffer of the arguments is reused
+	maxOpen := c.front.core.OpenRequestsOfCaller(c.front.connections(), maxOpenRequests)
 	c.mu.Lock()
 	_, inUse := c.openRequests[tag]
-	full := len(c.openRequests) >= maxOpenRequests
+	full := len(c.openRequests) >= maxOpen
 	if !inUse {
 		c.openRequests[tag] = nil // the answer may come before Open returns
 	}
--- a/internal/net/respfront/front.go
+++ b/internal/net/respfront/front.go
@@ -69,6 +69,13 @@
 	go c.readLoop()
 }
 
+// connections returns the number of connections.
+func (f *Front) connections() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.conns)
+}
+
 // removeConn removes a connection that has ended.
 func (f *Front) removeConn(c *conn) {
 	f.mu.Lock()
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -18,8 +18,15 @@
 	return buffers.Get().(*[Size]byte)[:n]
 }
 
-// Copy returns a buffer with a copy of the bytes.
+// smallBytes is the size up to which Copy returns memory of just that size.
+const smallBytes = 512
+
+// Copy returns a buffer with a copy of the bytes. Few bytes get memory of their own size, since thousands of requests with small
+// bodies may wait at a time.
 func Copy(b []byte) []byte {
+	if len(b) <= smallBytes {
+		return append(make([]byte, 0, len(b)), b...)
+	}
 	c := Get(len(b))
 	copy(c, b)
 	return c
