Count requests that a router takes back until they have ended

Cause: ABORT freed the request's place among the 32 of its connection, while the request stayed open in the core and its run went on. One connection thus filled the limit on open requests, and the runs.

Change: such requests count until they have ended, and reading pauses for 1 ms after a request over the limit.

--- a/cmd/puffinsaddle/hostile_requests_test.go
+++ b/cmd/puffinsaddle/hostile_requests_test.go
@@ -12,8 +12,8 @@
 	"time"
 )
 
-// startSlowReadExecutor starts a fake executor that completes attempts of the class book at once, and others after slowRead.
-func startSlowReadExecutor(t *testing.T) string {
+// startSlowReadExecutor starts a fake executor that completes attempts of the class book at once, and others after a time.
+func startSlowReadExecutor(t *testing.T, took time.Duration) string {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -26,16 +26,14 @@
 			if err != nil {
 				return
 			}
-			go serveSlowReadExecutor(conn)
+			go serveSlowReadExecutor(conn, took)
 		}
 	}()
 	return ln.Addr().String()
 }
 
-const slowRead = time.Second
-
 // serveSlowReadExecutor is the fake executor's side of a link.
-func serveSlowReadExecutor(conn net.Conn) {
+func serveSlowReadExecutor(conn net.Conn, took time.Duration) {
 	defer conn.Close()
 	r, n := bufio.NewReader(conn), 0
 	var mu sync.Mutex
@@ -62,7 +60,7 @@
 			if id := words[1]; words[2] == "book" {
 				complete(id)
 			} else {
-				time.AfterFunc(slowRead, func() { complete(id) })
+				time.AfterFunc(took, func() { complete(id) })
 			}
 		}
 	}
@@ -73,7 +71,7 @@
 func TestHostileOpenRequests(t *testing.T) {
 	for _, memoryMB := range hostileMemories() {
 		t.Run(fmt.Sprintf("%d MB", memoryMB), func(t *testing.T) {
-			s := startHostileServer(t, hostileOptions{memoryMB: memoryMB, executor: startSlowReadExecutor(t)})
+			s := startHostileServer(t, hostileOptions{memoryMB: memoryMB, executor: startSlowReadExecutor(t, time.Second)})
 			s.check(s.play(hostileConnections, func(s *hostileServer, number int, ended <-chan struct{}) {
 				untilEnded(s.router, ended, func(conn net.Conn) {
 					for tag := 1; tag <= 32; tag++ {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -242,9 +242,13 @@
 	h.markAnswered()
 	pool.Put(h.request.Body) // the attempt has ended, and the runner has its own copy of anything it still sends
 	c.mu.Lock()
-	defer c.mu.Unlock()
 	delete(c.handlers, h.id)
 	delete(c.byRequestID, h.request.ID)
+	whenEnded := h.whenEnded
+	c.mu.Unlock()
+	if whenEnded != nil {
+		whenEnded()
+	}
 }
 
 // Unanswered returns the number of requests without an answer.
--- a/internal/core/handler.go
+++ b/internal/core/handler.go
@@ -29,6 +29,7 @@
 	ended             atomic.Bool
 	started           bool // a Start action was received; used by the goroutine of Core.Run alone
 	goneOnce          sync.Once
+	whenEnded         func() // called once the attempt has ended; guarded by the core's lock
 }
 
 type (
@@ -65,6 +66,19 @@
 	})
 }
 
+// WhenEnded calls a function once the attempt has ended, which may be long after the caller has gone. The function must not block.
+func (h *Handler) WhenEnded(f func()) {
+	h.core.mu.Lock()
+	open := h.core.handlers[h.id] == h
+	if open {
+		h.whenEnded = f
+	}
+	h.core.mu.Unlock()
+	if !open {
+		f()
+	}
+}
+
 // FailUnlessStarted fails the request unless it has started. It is for connections that have sent a request that the
 // executor does not know.
 func (h *Handler) FailUnlessStarted() { h.inbox.Put(failUnlessStarted{}) }
--- a/internal/net/limits_test.go
+++ b/internal/net/limits_test.go
@@ -62,3 +62,35 @@
 	router.sendPayment(36, 36, startMS, "aa", "a")
 	router.want("36", "done", "", "A")
 }
+
+// A router takes back as many requests as it may have open, each after its run has begun: the next one on its connection is refused
+// until a run has ended, and other connections are served. Guards against a connection that takes back requests at full speed and
+// thereby fills the server with their runs.
+func TestRequestsTakenBackCountUntilTheyEnd(t *testing.T) {
+	x, h := newReadyServer(t)
+	router := h.router()
+	for n := 1; n <= 32; n++ {
+		router.sendRequest(n, n, "book-delivery", "", "b")
+		x.want("EXEC", id(n))
+		router.send("ABORT", fmt.Sprint(n))
+	}
+	router.sendRequest(33, 33, "book-delivery", "", "b")
+	router.want("33", "later")
+	other := h.router()
+	other.sendRequest(1, 101, "book-delivery", "", "b")
+	x.want("EXEC", id(101))
+	x.sendNotice("EXIT", id(101)+" success 1", "r")
+	other.want("1", "done", "", "r")
+	x.sendNotice("EXIT", id(1)+" success 1", "r")
+	router.want("1", "done", "", "r") // nobody waits for it, and it does no harm
+	for n := 200; ; n++ {             // until the server has processed that end
+		router.sendRequest(n, n, "book-delivery", "", "b")
+		router.conn.SetReadDeadline(time.Now().Add(100 * time.Millisecond))
+		if _, err := router.r.Peek(1); err != nil {
+			x.want("EXEC", id(n)) // it is not refused
+			break
+		}
+		router.conn.SetReadDeadline(time.Now().Add(testTimeout))
+		router.want(fmt.Sprint(n), "later")
+	}
+}
--- a/internal/net/respfront/command.go
+++ b/internal/net/respfront/command.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"strconv"
+	"time"
 
 	"puffinsaddle/internal/core"
 	"puffinsaddle/internal/pool"
@@ -15,6 +16,8 @@
 	maxInvalidRequests    = 8    // on a connection; the next one ends it
 	invalidRequestDelayMS = 50.0 // reading stops for this long after each invalid request
 	fullRetryAfterMS      = 1.0  // milliseconds until a retry of a request over maxOpenRequests
+
+	fullPause = time.Millisecond // reading stops for this long after such a request
 )
 
 // handleCommand handles one command; an error ends the connection.
@@ -43,12 +46,23 @@
 	c.mu.Lock()
 	handler := c.openRequests[tag]
 	delete(c.openRequests, tag)
+	if handler != nil {
+		c.takenBack++
+	}
 	c.mu.Unlock()
 	if handler != nil {
 		handler.CallerGone()
+		handler.WhenEnded(c.endTakenBack)
 	}
 }
 
+// endTakenBack records that a request that the router has taken back has ended.
+func (c *conn) endTakenBack() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.takenBack--
+}
+
 // handleHealth handles the command HEALTH.
 func (c *conn) handleHealth(tag uint64, args [][]byte) error {
 	deep := false
@@ -82,7 +96,8 @@
 	maxOpen := c.front.core.OpenRequestsOfCaller(c.front.connections(), maxOpenRequests)
 	c.mu.Lock()
 	_, inUse := c.openRequests[tag]
-	full := len(c.openRequests) >= maxOpen
+	// What a router takes back still counts until it has ended, or one connection could take the place of all others.
+	full := len(c.openRequests)+c.takenBack >= maxOpen
 	if !inUse {
 		c.openRequests[tag] = nil // the answer may come before Open returns
 	}
@@ -93,6 +108,7 @@
 	answer := func(o core.Outcome) { c.sendAnswer(tag, o) }
 	if full {
 		c.front.core.Refuse(q, fullRetryAfterMS, answer)
+		time.Sleep(fullPause)
 		return nil
 	}
 	handler := c.front.core.Open(q, answer)
--- a/internal/net/respfront/conn.go
+++ b/internal/net/respfront/conn.go
@@ -27,6 +27,7 @@
 	inCommand       bool                     // a command was partly read, or a complete one is being handled; set by the reader only
 	awaitingRest    bool                     // with inCommand: all input was read, and it ends within a command
 	openRequests    map[uint64]*core.Handler // by tag; nil until the handler is known, and for a request that is not accepted
+	takenBack       int                      // requests that the router has taken back and that have not ended
 	sendBuffer      []byte
 	writing         bool
 	closingSent     bool    // the closing message was sent or queued
