Tell the other process of a replacement which effects were started

Cause: each process keeps the IDs of its effects in memory for itself; the handover passed on keyed attempts only.

Evidence: TestRequestComesAgainAtOtherProcess fails before the change: the request runs again. In one process it never did.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -72,6 +72,7 @@
 	limitPeers      []*limitPeer
 
 	lastPeer atomic.Uint32 // the last policy.PeerID given
+	hasPeers atomic.Bool   // there are limitPeers
 }
 
 // event is an inbox entry, either an event for the module or a request to the goroutine that owns the module.
--- a/internal/core/limits.go
+++ b/internal/core/limits.go
@@ -19,6 +19,10 @@
 	c.runAndWait(func() {
 		c.limitPeers = append(c.limitPeers, p)
 		c.log.Info().Bool("successor", successor).Bool("reports", link != nil).Msg("limits are divided with another process")
+		c.hasPeers.Store(true)
+		if link != nil {
+			c.sendEffects(link)
+		}
 		c.tellModule(policy.PeerJoined{ID: p.id, Successor: successor, Reports: link != nil})
 	})
 	return p.id
@@ -41,6 +45,7 @@
 		for i, p := range c.limitPeers {
 			if p.id == id {
 				c.limitPeers = append(c.limitPeers[:i], c.limitPeers[i+1:]...)
+				c.hasPeers.Store(len(c.limitPeers) > 0)
 				return
 			}
 		}
@@ -68,6 +73,16 @@
 	}
 }
 
+// peerLinks returns the links to the peers that exchange reports, without one of them.
+func (c *Core) peerLinks(except PeerLink) (links []PeerLink) {
+	for _, p := range c.limitPeers {
+		if p.link != nil && p.link != except {
+			links = append(links, p.link)
+		}
+	}
+	return links
+}
+
 func (c *Core) findPeer(matches func(*limitPeer) bool) *limitPeer {
 	for _, p := range c.limitPeers {
 		if matches(p) {
--- a/internal/core/peer.go
+++ b/internal/core/peer.go
@@ -19,6 +19,8 @@
 	Started  *KeyedAttempt  `json:",omitempty"` // to the predecessor: the attempt starts
 	Ended    *AttemptResult `json:",omitempty"` // to either: the attempt has ended
 
+	Effects []string `json:",omitempty"` // to either: the IDs of requests whose effects the sender has started or is about to
+
 	Limits *policy.PeerReport `json:",omitempty"` // to either: what the sender uses of the limits, and what it grants
 }
 
--- a/internal/core/replacement.go
+++ b/internal/core/replacement.go
@@ -117,6 +117,8 @@
 			c.recordPeerEnd(from, m.Ended)
 		case m.Limits != nil:
 			c.receiveLimits(from, m.Limits)
+		case m.Effects != nil:
+			c.receiveEffects(from, m.Effects)
 		}
 	})
 }
--- a/internal/net/replacement_test.go
+++ b/internal/net/replacement_test.go
@@ -307,3 +307,38 @@
 	p = old.router() // the other connection was idle for too long
 	old.run(p, 7, 7, "dd")
 }
+
+// A request with an effect comes to one process, and its router leaves while the run goes on, or after its end. Then the same request
+// comes to the other process, in either direction: it does not run again. Guards against an effect that each of the two processes of a
+// replacement records for itself.
+func TestRequestComesAgainAtOtherProcess(t *testing.T) {
+	clk := clock.Manual(startMS)
+	old := newKeyedProcess(t, clk)
+	book := func(p *keyedProcess, n int) *fakeRouter {
+		router := p.router()
+		router.sendRequest(1, n, "book-delivery", fmt.Sprintf(",at=%.0f", startMS), "a")
+		p.x.want("EXEC", id(n))
+		return router
+	}
+	wantFailed := func(p *keyedProcess, n int) {
+		t.Helper()
+		router := p.router()
+		router.sendRequest(1, n, "book-delivery", fmt.Sprintf(",at=%.0f", startMS), "a")
+		router.want("1", "error")
+		router.checkNoOtherRun(p.x, 2, 1000+n, startMS)
+	}
+	book(old, 1).conn.Close() // before the successor joins
+	next, _ := old.startSuccessor()
+	for i, pair := range []struct{ first, second *keyedProcess }{{old, next}, {next, old}} {
+		running, ended := 10+2*i, 11+2*i
+		book(pair.first, running).conn.Close()
+		router := book(pair.first, ended)
+		pair.first.succeed(ended, "A")
+		router.want("1", "done", "", "A")
+		router.conn.Close()
+		old.learnStarts(old.router(), 1, 50+i) // both directions: the other process answers a claim after all earlier messages
+		wantFailed(pair.second, running)
+		wantFailed(pair.second, ended)
+	}
+	wantFailed(next, 1)
+}
