Start no requests that were read behind a connection's reset

Cause: during the pause after an invalid request the reader does not look at the socket; then it opened what it had taken before, and found the reset too late.

Change: the connection is asked for a reset before each request is opened and every 5 ms in a pause.

--- a/cmd/puffinsaddle/hostile_speed_test.go
+++ b/cmd/puffinsaddle/hostile_speed_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"bufio"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strconv"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -97,3 +99,35 @@
 		})
 	}
 }
+
+// Gateways send the last byte of a packet and the end of the connection at once: such a request does not run. Guards against requests
+// that are sent on although their caller is known to have gone.
+func TestHostileGatewaysThatLeave(t *testing.T) {
+	s := startHostileServer(t, hostileOptions{memoryMB: hostileMemoryMB})
+	request := append(gatewayPacket("ORDER_CLASS", "book", "CONTENT_LENGTH", "1"), 'x')
+	for range 400 {
+		conn, err := net.Dial("tcp", s.gateway)
+		if err != nil {
+			t.Fatal(err)
+		}
+		conn.Write(request[:len(request)-1])
+		raw, err := conn.(*net.TCPConn).SyscallConn()
+		if err != nil {
+			t.Fatal(err)
+		}
+		raw.Write(func(fd uintptr) bool { // the byte waits for the end of the connection
+			return syscall.Sendto(int(fd), request[len(request)-1:], syscall.MSG_MORE, nil) == nil
+		})
+		conn.Close()
+	}
+	time.Sleep(settleTime)
+	response, err := httpClient.Get("http://" + s.operator + "/-/metrics")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer response.Body.Close()
+	var metrics struct{ Tries int }
+	if err := json.NewDecoder(response.Body).Decode(&metrics); err != nil || metrics.Tries > 0 {
+		t.Errorf("%d requests of gateways that had gone were run, %v", metrics.Tries, err)
+	}
+}
--- a/internal/net/respfront/command.go
+++ b/internal/net/respfront/command.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"puffinsaddle/internal/core"
+	"puffinsaddle/internal/net/accept"
 	"puffinsaddle/internal/pool"
 )
 
@@ -17,9 +18,13 @@
 	invalidRequestDelayMS = 50.0 // reading stops for this long after each invalid request
 	fullRetryAfterMS      = 1.0  // milliseconds until a retry of a request over maxOpenRequests
 
-	fullPause = time.Millisecond // reading stops for this long after such a request
+	fullPause         = time.Millisecond     // reading stops for this long after such a request
+	resetPollInterval = 5 * time.Millisecond // between two looks at a connection whose reading has stopped
 )
 
+// errReset is the error of a connection that was reset while there was input to read. Nobody waits for requests in that input.
+var errReset = errors.New("connection reset before its input was read")
+
 // handleCommand handles one command; an error ends the connection.
 func (c *conn) handleCommand(args [][]byte) error {
 	if len(args) < 2 {
@@ -92,6 +97,9 @@
 	if c.forgedSeen.Load() { // guards against a flood of forged requests, which would displace genuine ones
 		return c.rejectInvalid(tag, errTooManyInvalid)
 	}
+	if accept.WasReset(c.nc) {
+		return errReset
+	}
 	q.Body = pool.Copy(q.Body) // the buffer of the arguments is reused
 	maxOpen := c.front.core.OpenRequestsOfCaller(c.front.connections(), maxOpenRequests)
 	c.mu.Lock()
@@ -135,6 +143,22 @@
 	delayed := make(chan struct{})
 	c.front.clock.After(invalidRequestDelayMS, func() { close(delayed) }) // whoever has the answer finds the pause begun
 	c.sendAnswer(tag, core.Outcome{Verdict: core.Failed})
-	<-delayed
-	return nil
+	return c.awaitUnlessReset(delayed)
+}
+
+// awaitUnlessReset waits for the end of a pause in reading. If the connection is reset meanwhile, it returns an error at once, so that
+// the requests that were read before do not start.
+func (c *conn) awaitUnlessReset(delayed <-chan struct{}) error {
+	ticker := time.NewTicker(resetPollInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-delayed:
+			return nil
+		case <-ticker.C:
+			if accept.WasReset(c.nc) {
+				return errReset
+			}
+		}
+	}
 }
--- a/internal/net/respfront/front_test.go
+++ b/internal/net/respfront/front_test.go
@@ -342,3 +342,36 @@
 		t.Errorf("after the closing message: read %d bytes, %v; want the end", n, err)
 	}
 }
+
+// A router sends an invalid request and then sound ones, and resets the connection during the pause in reading after the invalid one:
+// the sound ones do not run, although they were received before. Guards against requests that are sent on after their client has
+// gone.
+func TestRequestsBehindResetDoNotRun(t *testing.T) {
+	const sound = 20
+	runner := manualRunner{started: make(chan *core.Attempt, sound)}
+	f, clk := startFrontWith(t, runner)
+	conn := dial(t, f)
+	commands := "*4\r\n$3\r\nREQ\r\n$3\r\n999\r\n$4\r\nread\r\n$0\r\n\r\n"
+	for tag := 1; tag <= sound; tag++ {
+		commands += reqFrame(tag)
+	}
+	io.WriteString(conn, commands)
+	wantRead(t, conn, "*3\r\n$3\r\n999\r\n$5\r\nerror\r\n$0\r\n\r\n")
+	c := onlyConn(f)
+	conn.(*net.TCPConn).SetLinger(0)
+	conn.Close()
+	for !accept.WasReset(c.nc) {
+		runtime.Gosched()
+	}
+	clk.Set(startMS + invalidRequestDelayMS)
+	for done := false; !done; runtime.Gosched() {
+		c.mu.Lock()
+		done = c.readDone
+		c.mu.Unlock()
+	}
+	select {
+	case <-runner.started:
+		t.Errorf("%d requests behind a reset were started", 1+len(runner.started))
+	case <-time.After(20 * time.Millisecond):
+	}
+}
--- a/internal/net/uwsgi/front.go
+++ b/internal/net/uwsgi/front.go
@@ -129,6 +129,10 @@
 		f.rejectInvalid(conn, err)
 		return
 	}
+	if accept.HasEnded(conn.Conn) { // its caller has gone, and waits for no answer
+		pool.Put(q.Body)
+		return
+	}
 	full := f.takeInHand(conn)
 	answerWritten := make(chan struct{})
 	answer := func(o core.Outcome) {
