Do not divide downstream calls that are allotted to each process

Cause: with duties.allot each process has a part of the vault's calls of its own, and a server that is replaced counts twice. Since the two processes divided these parts once more, and each used the lower one: a new process has none at first, so the old one would have made no call until the new one had its part. Change: a part set by SetDownstreamShare is used as it is. Memory and runs are divided as before. Measured: TestAllottedCallsAreNotDivided fails before the change (the limit of a peer holds) and passes with it; policy and core pass.

--- a/policy/calls.go
+++ b/policy/calls.go
@@ -51,7 +51,7 @@
 // other servers leave their shares unused. Optional calls leave the time that required calls are likely to
 // need. Otherwise they fill the period while downstream is slow, and requests with required calls fail.
 func (n *Instance) callTimeLeft(c *classState) time.Duration {
-	period, share := float64(n.set.CallPeriod), n.peers.share[CallLimit]
+	period, share := float64(n.set.CallPeriod), n.callShare()
 	limit := n.wholeCallLimit() * share
 	switch {
 	case n.wholeCallLimit() == 0:
--- a/policy/peers.go
+++ b/policy/peers.go
@@ -112,6 +112,7 @@
 	reportedAt  time.Duration // time of the last report
 	claimShares time.Duration // when this process has the shares of processes without a link too; 0: never
 	yieldShares time.Duration // when this process has no shares any more; 0: never
+	allotted    bool          // downstream calls are allotted to each process by itself
 }
 
 func newPeerState() peerState { return peerState{share: LimitShares{1, 1, 1}} }
@@ -403,10 +404,22 @@
 	return memory, running
 }
 
+// callShare is the share of this process in the limit on downstream calls. Calls that are allotted to each
+// process are not divided again.
+func (n *Instance) callShare() float64 {
+	if n.peers.allotted {
+		return 1
+	}
+	return n.peers.share[CallLimit]
+}
+
 // downstreamShare is the number of concurrent downstream calls allotted to the server. While processes
 // differ, new settings have not reached all of them, and the lower one holds.
 func (n *Instance) downstreamShare() float64 {
 	share := n.set.DownstreamShare
+	if n.peers.allotted {
+		return share
+	}
 	for _, p := range n.peers.peers {
 		if p.report.DownstreamShare > 0 {
 			share = min(share, p.report.DownstreamShare)
--- a/policy/peers_test.go
+++ b/policy/peers_test.go
@@ -417,3 +417,17 @@
 		t.Errorf("limit %g after the peer has ended, want %g", got, whole)
 	}
 }
+
+// The host allots downstream calls to each process by itself, which counts a server that is replaced twice: a process does not divide
+// its part again, and its peer's part does not lower it.
+func TestAllottedCallsAreNotDivided(t *testing.T) {
+	m := newPeerModel(t, 1)
+	p := m.start(true)
+	p.n.SetDownstreamShare(4)
+	whole := p.n.wholeCallLimit()
+	p.n.Handle(m.now, []Event{PeerJoined{ID: 1, Reports: true}})
+	p.n.Handle(m.now, []Event{PeerReported{ID: 1, Report: PeerReport{DownstreamShare: 1e-300}}})
+	if got := p.n.wholeCallLimit() * p.n.callShare(); got != whole {
+		t.Errorf("limit %g, want %g", got, whole)
+	}
+}
--- a/policy/settings.go
+++ b/policy/settings.go
@@ -64,6 +64,7 @@
 func (n *Instance) SetDownstreamShare(share float64) {
 	if share >= 0 && !math.IsInf(share, 0) {
 		n.set.DownstreamShare = max(share, math.SmallestNonzeroFloat64)
+		n.peers.allotted = true
 	}
 }
 
