--- a/cmd/puffinsaddle/crowd_test.go
+++ b/cmd/puffinsaddle/crowd_test.go
@@ -137,8 +137,8 @@
 	}
 }
 
-// startRunningExecutor starts a fake executor that welcomes servers after welcomeDelay, and completes every attempt at once.
-func startRunningExecutor(t testing.TB, welcomeDelay time.Duration) string {
+// serveConnections listens on a free address until the test ends, and serves each connection on a goroutine of its own.
+func serveConnections(t testing.TB, serve func(net.Conn)) (address string) {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -151,12 +151,18 @@
 			if err != nil {
 				return
 			}
-			go serveRunningExecutor(conn, welcomeDelay)
+			go serve(conn)
 		}
 	}()
 	return ln.Addr().String()
 }
 
+// startRunningExecutor starts a fake executor that welcomes servers after welcomeDelay, and completes every attempt at once.
+func startRunningExecutor(t testing.TB, welcomeDelay time.Duration) string {
+	t.Helper()
+	return serveConnections(t, func(conn net.Conn) { serveRunningExecutor(conn, welcomeDelay) })
+}
+
 // serveRunningExecutor is the fake executor's side of a link.
 func serveRunningExecutor(conn net.Conn, welcomeDelay time.Duration) {
 	defer conn.Close()
--- a/cmd/puffinsaddle/hostile_requests_test.go
+++ b/cmd/puffinsaddle/hostile_requests_test.go
@@ -15,21 +15,7 @@
 // startSlowReadExecutor starts a fake executor that completes attempts of the class book at once, and others after a time.
 func startSlowReadExecutor(t *testing.T, took time.Duration) string {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { ln.Close() })
-	go func() {
-		for {
-			conn, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			go serveSlowReadExecutor(conn, took)
-		}
-	}()
-	return ln.Addr().String()
+	return serveConnections(t, func(conn net.Conn) { serveSlowReadExecutor(conn, took) })
 }
 
 // serveSlowReadExecutor is the fake executor's side of a link.
--- a/cmd/puffinsaddle/hostile_results_test.go
+++ b/cmd/puffinsaddle/hostile_results_test.go
@@ -14,29 +14,15 @@
 // startLargeResultServer starts a uwsgi server whose results have a MiB.
 func startLargeResultServer(t *testing.T) string {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { ln.Close() })
 	result := bytes.Repeat([]byte("r"), 1<<20)
-	go func() {
-		for {
-			conn, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer conn.Close()
-				if _, _, err := uwsgi.ReadPacket(bufio.NewReader(conn), 1<<20); err != nil {
-					return
-				}
-				fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", len(result))
-				conn.Write(result)
-			}()
+	return serveConnections(t, func(conn net.Conn) {
+		defer conn.Close()
+		if _, _, err := uwsgi.ReadPacket(bufio.NewReader(conn), 1<<20); err != nil {
+			return
 		}
-	}()
-	return ln.Addr().String()
+		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", len(result))
+		conn.Write(result)
+	})
 }
 
 // Gateways ask for results of a MiB and do not read them. Guards against results that are kept for callers that do not read, and
--- a/cmd/puffinsaddle/replacement_limits_test.go
+++ b/cmd/puffinsaddle/replacement_limits_test.go
@@ -38,7 +38,7 @@
 
 // countingVault takes a fixed time for each call and keeps the highest mean of the calls in its hands.
 type countingVault struct {
-	ln      net.Listener
+	address string
 	latency time.Duration
 	ended   chan struct{}
 
@@ -50,21 +50,9 @@
 
 func newCountingVault(t *testing.T, latency time.Duration) *countingVault {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	v := &countingVault{ln: ln, latency: latency, ended: make(chan struct{})}
-	t.Cleanup(func() { close(v.ended); ln.Close() })
-	go func() {
-		for {
-			conn, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			go v.serve(conn)
-		}
-	}()
+	v := &countingVault{latency: latency, ended: make(chan struct{})}
+	t.Cleanup(func() { close(v.ended) })
+	v.address = serveConnections(t, v.serve)
 	go v.sample()
 	return v
 }
@@ -125,21 +113,7 @@
 // startCallingExecutor starts a fake executor whose attempts make one call each.
 func startCallingExecutor(t *testing.T) string {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { ln.Close() })
-	go func() {
-		for {
-			conn, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			go serveCallingExecutor(conn)
-		}
-	}()
-	return ln.Addr().String()
+	return serveConnections(t, serveCallingExecutor)
 }
 
 // serveCallingExecutor is the fake executor's side of a link.
@@ -203,7 +177,7 @@
 // writeConfig writes the configuration file of a process.
 func (s *replacedServer) writeConfig(p *serverProcess, executor string) {
 	s.t.Helper()
-	file := fmt.Sprintf(replacedConfig, p.listen, p.operator, executor, s.vault.ln.Addr(), s.members, s.callsOut,
+	file := fmt.Sprintf(replacedConfig, p.listen, p.operator, executor, s.vault.address, s.members, s.callsOut,
 		vaultPeriod.Nanoseconds(), vaultLinger.Nanoseconds())
 	if err := os.WriteFile(p.path, []byte(file), 0o600); err != nil {
 		s.t.Fatal(err)
